--- /dev/null
+++ b/internal/process/logger/event.go
@@ -0,0 +1,63 @@
+package logger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/rs/zerolog"
+)
+
+// Event is the number of a log event.
+type Event int
+
+// The events. Hundreds group them: 1 process, 2 configuration, 3 membership,
+// 4 limits, 5 upstreams and shifts, 6 requests, 7 store.
+const (
+	HostStarted      Event = 101
+	HostReady        Event = 102
+	HostLeaving      Event = 103
+	HostStopped      Event = 104
+	WorkCutOff       Event = 105
+	ListenFailed     Event = 106
+	VersionAccepted  Event = 201
+	VersionInstalled Event = 202
+	VersionRefused   Event = 203
+	RequestFailed    Event = 601
+	StoreFailed      Event = 701
+	StoreRecovered   Event = 702
+)
+
+type entry struct {
+	level   zerolog.Level
+	message string
+	meaning string
+}
+
+var entries = map[Event]entry{
+	HostStarted:      {zerolog.InfoLevel, "host started", "The listeners are open; the host is not ready yet."},
+	HostReady:        {zerolog.InfoLevel, "host ready", "The host has a configuration and its shares and takes new work."},
+	HostLeaving:      {zerolog.InfoLevel, "host leaving", "A graceful stop began; the host leaves the look-ups."},
+	HostStopped:      {zerolog.InfoLevel, "host stopped", "Nothing is in flight; the process ends."},
+	WorkCutOff:       {zerolog.WarnLevel, "work cut off", "A second signal or the hard deadline ended the requests named in the field requests."},
+	ListenFailed:     {zerolog.ErrorLevel, "listen failed", "A listener could not be opened; the process ends."},
+	VersionAccepted:  {zerolog.InfoLevel, "version accepted", "A publication through this host won its conditional write."},
+	VersionInstalled: {zerolog.InfoLevel, "version installed", "The version in the field version is in force on this host."},
+	VersionRefused:   {zerolog.WarnLevel, "version refused", "A release note or a copy of a version failed a check."},
+	RequestFailed:    {zerolog.WarnLevel, "request failed", "A request was answered with an error kind of ours."},
+	StoreFailed:      {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again."},
+	StoreRecovered:   {zerolog.InfoLevel, "store recovered", "The store answers again after failures."},
+}
+
+func (e Event) entry() entry { return entries[e] }
+
+// Meaning returns the sentence of the catalogue.
+func (e Event) Meaning() string { return e.entry().meaning }
+
+// Message returns the message of the event's line.
+func (e Event) Message() string { return e.entry().message }
+
+// Level returns the level of the event's line.
+func (e Event) Level() zerolog.Level { return e.entry().level }
+
+// Events returns all events by number.
+func Events() []Event { return slices.Sorted(maps.Keys(entries)) }
--- /dev/null
+++ b/internal/process/logger/logger.go
@@ -0,0 +1,31 @@
+// Package logger writes structured logs of numbered events. Every event has an
+// entry in the table of this package and in docs/events.md; a test compares
+// the two. Numbers are never reused.
+package logger
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// Logger writes events. The zero Logger discards them.
+type Logger struct {
+	z  zerolog.Logger
+	on bool
+}
+
+// New returns a Logger that writes JSON lines at or above the level to w.
+func New(w io.Writer, level zerolog.Level, host string) Logger {
+	z := zerolog.New(w).Level(level).With().Timestamp().Str("host", host).Logger()
+	return Logger{z: z, on: true}
+}
+
+// Event starts the line of an event. The caller adds fields and calls Send.
+func (l Logger) Event(e Event) *zerolog.Event {
+	if !l.on {
+		return nil
+	}
+	entry := e.entry()
+	return l.z.WithLevel(entry.level).Int("event", int(e)).Str("message", entry.message)
+}
--- /dev/null
+++ b/internal/process/settler/settler.go
@@ -0,0 +1,231 @@
+// Package settler reads and checks the JSON settings of a host. Everything is
+// checked before the first socket opens.
+package settler
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// Settings are the settings of one host. The JSON keys are the field names in
+// lower case.
+type Settings struct {
+	Name     string   `json:"name"`
+	Region   string   `json:"region"`
+	Zone     string   `json:"zone"`
+	Caller   Listener `json:"caller"`
+	Operator Listener `json:"operator"`
+	Peer     Peer     `json:"peer"`
+	Seeds    []string `json:"seeds,omitempty"`
+	Platform Platform `json:"platform"`
+	Log      Log      `json:"log"`
+	Limits   Limits   `json:"limits"`
+	Stop     Stop     `json:"stop"`
+}
+
+// Listener is an address that a host listens on. Certificate and Key turn on
+// TLS.
+type Listener struct {
+	Listen      string `json:"listen"`
+	Certificate string `json:"certificate,omitempty"`
+	Key         string `json:"key,omitempty"`
+}
+
+// Peer is the listener for other hosts. Without Plain, all three files are
+// needed for mutual TLS.
+type Peer struct {
+	Listen      string `json:"listen"`
+	Certificate string `json:"certificate,omitempty"`
+	Key         string `json:"key,omitempty"`
+	Authority   string `json:"authority,omitempty"`
+	Plain       bool   `json:"plain,omitempty"`
+}
+
+// Platform is where the platform's services are reached.
+type Platform struct {
+	Table   string         `json:"table"`
+	Objects string         `json:"objects"`
+	Hosts   string         `json:"hosts"`
+	Timeout noter.Duration `json:"timeout,omitempty"`
+}
+
+// Log says what is logged. Level is a zerolog level name.
+type Log struct {
+	Level string `json:"level,omitempty"`
+}
+
+// Limits bounds what one caller may send and how much waits. Body and Headers
+// are in bytes; Queue counts requests for each service.
+type Limits struct {
+	Headers int            `json:"headers,omitempty"`
+	Body    int64          `json:"body,omitempty"`
+	Queue   int            `json:"queue,omitempty"`
+	Header  noter.Duration `json:"header,omitempty"`
+	Idle    noter.Duration `json:"idle,omitempty"`
+}
+
+// Stop says how a graceful stop goes. Lifetime is how long callers may use a
+// cached look-up. Hard ends requests that still run; zero waits for all.
+type Stop struct {
+	Lifetime noter.Duration `json:"lifetime,omitempty"`
+	Hard     noter.Duration `json:"hard,omitempty"`
+}
+
+// Defaults of settings that are left out.
+const (
+	defaultHeaders  = 32 << 10
+	defaultBody     = 8 << 20
+	defaultQueue    = 256
+	defaultTimeout  = 2 * time.Second
+	defaultHeader   = 5 * time.Second
+	defaultIdle     = 60 * time.Second
+	defaultLifetime = 10 * time.Second
+)
+
+// Load reads and checks the settings in a file. The error names the file, the
+// field and the remedy.
+func Load(path string) (*Settings, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, classifier.Invalid.Wrap(err, "settings")
+	}
+	defer f.Close()
+	s, err := Read(f)
+	if err != nil {
+		return nil, classifier.Invalid.Wrap(err, path)
+	}
+	return s, nil
+}
+
+// Read reads and checks settings, and fills in defaults.
+func Read(r io.Reader) (*Settings, error) {
+	raw, err := io.ReadAll(r)
+	if err != nil {
+		return nil, classifier.Invalid.Wrap(err, "read settings")
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	s := new(Settings)
+	if err := dec.Decode(s); err != nil {
+		return nil, classifier.Invalid.Wrap(err, fmt.Sprintf("settings, near byte %d", dec.InputOffset()))
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, classifier.Invalid.New("settings: unexpected data after byte %d: keep one JSON object in a file", dec.InputOffset())
+	}
+	s.fill()
+	return s, s.Check()
+}
+
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (s *Settings) fill() {
+	fill(&s.Log.Level, zerolog.InfoLevel.String())
+	fill(&s.Limits.Headers, defaultHeaders)
+	fill(&s.Limits.Body, defaultBody)
+	fill(&s.Limits.Queue, defaultQueue)
+	fill(&s.Limits.Header, noter.Duration(defaultHeader))
+	fill(&s.Limits.Idle, noter.Duration(defaultIdle))
+	fill(&s.Platform.Timeout, noter.Duration(defaultTimeout))
+	fill(&s.Stop.Lifetime, noter.Duration(defaultLifetime))
+}
+
+// Check reports the first setting that is wrong, as an error of kind Invalid.
+func (s *Settings) Check() error {
+	for field, value := range map[string]string{"name": s.Name, "region": s.Region, "zone": s.Zone} {
+		if value == "" {
+			return invalid("field %q is empty: name the host, its region and its availability zone", field)
+		}
+	}
+	for _, f := range []func() error{s.checkAddresses, s.checkTLS, s.checkPlatform, s.checkLimits} {
+		if err := f(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkAddresses() error {
+	addresses := []struct{ field, value string }{
+		{"caller.listen", s.Caller.Listen},
+		{"operator.listen", s.Operator.Listen},
+		{"peer.listen", s.Peer.Listen},
+	}
+	for i, seed := range s.Seeds {
+		addresses = append(addresses, struct{ field, value string }{fmt.Sprintf("seeds[%d]", i), seed})
+	}
+	seen := make(map[string]string)
+	for _, a := range addresses {
+		ap, err := netip.ParseAddrPort(a.value)
+		if err != nil {
+			return invalid("field %q is %q: use an IP address and a port such as \"192.0.2.7:8080\"", a.field, a.value)
+		}
+		if other, ok := seen[a.value]; ok && ap.Port() != 0 {
+			return invalid("field %q: %s is also used by field %q: use different ports", a.field, a.value, other)
+		}
+		seen[a.value] = a.field
+	}
+	return nil
+}
+
+func (s *Settings) checkTLS() error {
+	for field, l := range map[string]Listener{"caller": s.Caller, "operator": s.Operator} {
+		if (l.Certificate == "") != (l.Key == "") {
+			return invalid("field %q: \"certificate\" and \"key\" go together: give both or neither", field)
+		}
+	}
+	p := s.Peer
+	if !p.Plain && (p.Certificate == "" || p.Key == "" || p.Authority == "") {
+		return invalid("field \"peer\": give \"certificate\", \"key\" and \"authority\", or set \"plain\" to true for a network that nobody else reaches")
+	}
+	if p.Plain && (p.Certificate != "" || p.Key != "" || p.Authority != "") {
+		return invalid("field \"peer\": \"plain\" is true although TLS files are named: remove one")
+	}
+	return nil
+}
+
+func (s *Settings) checkPlatform() error {
+	for field, url := range map[string]string{"platform.table": s.Platform.Table, "platform.objects": s.Platform.Objects, "platform.hosts": s.Platform.Hosts} {
+		if !strings.HasPrefix(url, "http://") && !strings.HasPrefix(url, "https://") {
+			return invalid("field %q is %q: use a URL such as \"http://192.0.2.9:9000\"", field, url)
+		}
+	}
+	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil {
+		return invalid("field \"log.level\" is %q: use trace, debug, info, warn, error or disabled", s.Log.Level)
+	}
+	return nil
+}
+
+func (s *Settings) checkLimits() error {
+	for field, value := range map[string]int64{
+		"limits.headers": int64(s.Limits.Headers), "limits.body": s.Limits.Body,
+		"limits.queue": int64(s.Limits.Queue), "limits.header": int64(s.Limits.Header),
+		"limits.idle": int64(s.Limits.Idle), "platform.timeout": int64(s.Platform.Timeout),
+		"stop.lifetime": int64(s.Stop.Lifetime),
+	} {
+		if value < 1 {
+			return invalid("field %q is below 1: leave it out for the default or give a value above 0", field)
+		}
+	}
+	if s.Stop.Hard < 0 {
+		return invalid("field \"stop.hard\" is negative: leave it out to wait for all requests")
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) error { return classifier.Invalid.New(format, args...) }
--- /dev/null
+++ b/internal/version/planner/planner.go
@@ -0,0 +1,378 @@
+// Package planner compiles release notes into a Plan: one immutable version of
+// the configuration, checked as a whole, in the form that the decisions read.
+//
+// A Plan is made from the one before it:
+//
+//	next, err := plan.Apply(note)
+//
+// The zero Plan is version 0 and defines nothing.
+package planner
+
+import (
+	"crypto/sha256"
+	"maps"
+	"slices"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// Chain identifies a version by its content and its whole history: the SHA-256
+// of the previous chain and the note.
+type Chain [sha256.Size]byte
+
+// Class says what may be done with a request.
+type Class uint8
+
+// The classes of request.
+const (
+	Lookup   Class = iota // repeatable and short
+	Download              // repeatable and long
+	Once                  // must run at most once
+	Classes  = 3
+)
+
+var classNames = [Classes]string{"lookup", "download", "once"}
+
+// String returns the name used in release notes.
+func (c Class) String() string { return classNames[c] }
+
+func parseClass(name string) (Class, bool) {
+	i := slices.Index(classNames[:], name)
+	return Class(max(i, 0)), i >= 0
+}
+
+// Plan is one version of the configuration. It is safe for concurrent use
+// because nothing in it changes.
+type Plan struct {
+	version uint64
+	chain   Chain
+	id      string
+
+	regions   []*Region
+	services  []*Service
+	upstreams []*Upstream
+	links     []*Link
+	byRegion  map[string]*Region
+	byService map[string]*Service
+	byUp      map[string]*Upstream
+	customers map[string]*Customer
+	sites     map[string]noter.Site
+	linkTable []*Link
+
+	source source
+}
+
+// Version returns the number of notes applied so far.
+func (p *Plan) Version() uint64 { return p.version }
+
+// Chain returns the hash chain up to this version.
+func (p *Plan) Chain() Chain { return p.chain }
+
+// ID returns the id of the note that made this version.
+func (p *Plan) ID() string { return p.id }
+
+// Regions returns all regions, sorted by name. A Region's Index is its place
+// here.
+func (p *Plan) Regions() []*Region { return p.regions }
+
+// Services returns all services, sorted by name.
+func (p *Plan) Services() []*Service { return p.services }
+
+// Upstreams returns all upstreams, sorted by name. An Upstream's Index is its
+// place here.
+func (p *Plan) Upstreams() []*Upstream { return p.upstreams }
+
+// Links returns all links, sorted by name.
+func (p *Plan) Links() []*Link { return p.links }
+
+// Region returns the region with this name, or nil.
+func (p *Plan) Region(name string) *Region { return p.byRegion[name] }
+
+// Service returns the service with this name, or nil.
+func (p *Plan) Service(name string) *Service { return p.byService[name] }
+
+// Upstream returns the upstream with this name, or nil.
+func (p *Plan) Upstream(name string) *Upstream { return p.byUp[name] }
+
+// Link returns the link between two regions by index, or nil if the plan
+// defines none or from equals to.
+func (p *Plan) Link(from, to int) *Link { return p.linkTable[from*len(p.regions)+to] }
+
+// Customer returns the customer with this name. An unknown customer has the
+// promise "refuse".
+func (p *Plan) Customer(name string) *Customer {
+	if c, ok := p.customers[name]; ok {
+		return c
+	}
+	return anonymous
+}
+
+// Site returns the zone of the site with this name and whether it exists.
+func (p *Plan) Site(name string) (zone string, ok bool) {
+	s, ok := p.sites[name]
+	return s.Zone, ok
+}
+
+// RegionOfZone returns the region that holds the availability zone, or nil.
+func (p *Plan) RegionOfZone(zone string) *Region {
+	for _, r := range p.regions {
+		if slices.Contains(r.zones, zone) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Region is a compiled noter.Region.
+type Region struct {
+	name  string
+	index int
+	zones []string
+	slots int
+}
+
+// Name returns the region's name.
+func (r *Region) Name() string { return r.name }
+
+// Index returns the region's place in Plan.Regions.
+func (r *Region) Index() int { return r.index }
+
+// Zones returns the region's availability zones.
+func (r *Region) Zones() []string { return r.zones }
+
+// Slots returns the limit on requests in flight in the whole region.
+func (r *Region) Slots() int { return r.slots }
+
+// Link is a compiled noter.Link.
+type Link struct {
+	name     string
+	from, to *Region
+	rate     int64
+}
+
+// Name returns "from/to".
+func (l *Link) Name() string { return l.name }
+
+// From returns the region where the link's traffic starts.
+func (l *Link) From() *Region { return l.from }
+
+// To returns the region where the link's traffic ends.
+func (l *Link) To() *Region { return l.to }
+
+// Rate returns the limit in bytes per second.
+func (l *Link) Rate() int64 { return l.rate }
+
+// Customer is a compiled noter.Customer.
+type Customer struct {
+	name string
+	stay bool
+}
+
+var anonymous = &Customer{}
+
+// Name returns the customer's name, empty for an unknown customer.
+func (c *Customer) Name() string { return c.name }
+
+// Stays reports whether a request that a cap holds back is served where it was
+// while that region still serves, instead of being refused.
+func (c *Customer) Stays() bool { return c.stay }
+
+// Service is a compiled noter.Service.
+type Service struct {
+	src       noter.Service
+	index     int
+	class     Class
+	shares    []float64
+	upstreams []*Upstream
+	byRegion  [][]*Upstream
+	routes    []route
+}
+
+type route struct {
+	method, prefix string
+	class          Class
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return s.src.Name }
+
+// Index returns the service's place in Plan.Services.
+func (s *Service) Index() int { return s.index }
+
+// Class returns the class of GET and HEAD requests without a route.
+func (s *Service) Class() Class { return s.class }
+
+// Shares returns the operator's share of each region, by region index. The
+// shares add up to 1.
+func (s *Service) Shares() []float64 { return s.shares }
+
+// CapFraction returns the part of the traffic that may change its region in
+// any span of CapEvery.
+func (s *Service) CapFraction() float64 { return s.src.Cap.Fraction }
+
+// CapEvery returns the span that CapFraction refers to.
+func (s *Service) CapEvery() time.Duration { return time.Duration(s.src.Cap.Every) }
+
+// Retry returns the retry budget as a fraction of requests.
+func (s *Service) Retry() float64 { return s.src.Retry }
+
+// Hedge reports whether look-ups may be hedged.
+func (s *Service) Hedge() bool { return s.src.Hedge }
+
+// Timeout returns the timeout of a request that states none. For downloads it
+// bounds the whole transfer; their progress has a timeout of its own.
+func (s *Service) Timeout() time.Duration { return time.Duration(s.src.Timeout) }
+
+// Minimum returns the rate in bytes per second that an admitted download
+// reserves.
+func (s *Service) Minimum() int64 { return s.src.Minimum }
+
+// Echo reports whether the upstreams repeat the Request-Id in their answers.
+func (s *Service) Echo() bool { return s.src.Echo }
+
+// Upstreams returns the service's upstreams, sorted by name.
+func (s *Service) Upstreams() []*Upstream { return s.upstreams }
+
+// UpstreamsIn returns the service's upstreams in the region with this index.
+func (s *Service) UpstreamsIn(region int) []*Upstream { return s.byRegion[region] }
+
+// ClassOf returns the class of a request. The first matching route decides; GET
+// and HEAD otherwise take the service's class, and every other method is Once.
+func (s *Service) ClassOf(method, path string) Class {
+	for _, r := range s.routes {
+		if r.method == method && len(path) >= len(r.prefix) && path[:len(r.prefix)] == r.prefix {
+			return r.class
+		}
+	}
+	if method == "GET" || method == "HEAD" {
+		return s.class
+	}
+	return Once
+}
+
+// Upstream is a compiled noter.Upstream.
+type Upstream struct {
+	src     noter.Upstream
+	index   int
+	offset  int
+	service *Service
+	region  *Region
+}
+
+// Name returns the upstream's name.
+func (u *Upstream) Name() string { return u.src.Name }
+
+// Index returns the upstream's place in Plan.Upstreams.
+func (u *Upstream) Index() int { return u.index }
+
+// Service returns the service that the upstream belongs to.
+func (u *Upstream) Service() *Service { return u.service }
+
+// Region returns the region that the upstream runs in.
+func (u *Upstream) Region() *Region { return u.region }
+
+// Zone returns the availability zone that the upstream runs in.
+func (u *Upstream) Zone() string { return u.src.Zone }
+
+// Address returns the IP address and port.
+func (u *Upstream) Address() string { return u.src.Address }
+
+// Slots returns how many requests may run at the upstream at once, from all
+// hosts together.
+func (u *Upstream) Slots() int { return u.src.Slots }
+
+// Connections returns how many connections all hosts together may hold open.
+func (u *Upstream) Connections() int { return u.src.Connections }
+
+// Offset returns the share that the upstream's first slot belongs to, before
+// the remainder by the number of shares is taken. It never changes while the
+// upstream exists, so that other upstreams can be withdrawn without moving it.
+func (u *Upstream) Offset() int { return u.offset }
+
+// Apply returns the version that follows p by the note. A note on another base
+// is an error of kind Conflict; content that fails a check is an error of kind
+// Invalid that names the item, the field and the remedy.
+func (p *Plan) Apply(n *noter.Note) (*Plan, error) {
+	if n.Base != p.version {
+		return nil, classifier.Conflict.New("release note %q is based on version %d, but version %d is in force: rebase it", n.ID, n.Base, p.version)
+	}
+	src := p.source.clone()
+	if err := src.apply(n); err != nil {
+		return nil, err
+	}
+	if err := src.check(); err != nil {
+		return nil, err
+	}
+	raw, err := n.Encode()
+	if err != nil {
+		return nil, classifier.Internal.Wrap(err, "encode release note")
+	}
+	h := sha256.New()
+	h.Write(p.chain[:])
+	h.Write(raw)
+	next := &Plan{version: p.version + 1, id: n.ID, source: src}
+	h.Sum(next.chain[:0])
+	next.compile()
+	return next, nil
+}
+
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func (p *Plan) compile() {
+	s := &p.source
+	p.byRegion = make(map[string]*Region, len(s.Regions))
+	for i, name := range sorted(s.Regions) {
+		r := s.Regions[name]
+		c := &Region{name: name, index: i, zones: r.Zones, slots: r.Slots}
+		p.regions = append(p.regions, c)
+		p.byRegion[name] = c
+	}
+	p.linkTable = make([]*Link, len(p.regions)*len(p.regions))
+	for _, name := range sorted(s.Links) {
+		l := s.Links[name]
+		c := &Link{name: name, from: p.byRegion[l.From], to: p.byRegion[l.To], rate: l.Rate}
+		p.links = append(p.links, c)
+		p.linkTable[c.from.index*len(p.regions)+c.to.index] = c
+	}
+	p.byService = make(map[string]*Service, len(s.Services))
+	for i, name := range sorted(s.Services) {
+		c := compileService(s.Services[name], p.regions)
+		c.index = i
+		p.services = append(p.services, c)
+		p.byService[name] = c
+	}
+	p.byUp = make(map[string]*Upstream, len(s.Upstreams))
+	for i, name := range sorted(s.Upstreams) {
+		u := s.Upstreams[name]
+		svc, r := p.byService[u.Service], p.byRegion[u.Region]
+		c := &Upstream{src: u, index: i, offset: s.Offsets[name], service: svc, region: r}
+		p.upstreams = append(p.upstreams, c)
+		p.byUp[name] = c
+		svc.upstreams = append(svc.upstreams, c)
+		svc.byRegion[r.index] = append(svc.byRegion[r.index], c)
+	}
+	p.customers = make(map[string]*Customer, len(s.Customers))
+	for name, c := range s.Customers {
+		p.customers[name] = &Customer{name: name, stay: c.Hold == holdStay}
+	}
+	p.sites = s.Sites
+}
+
+func compileService(src noter.Service, regions []*Region) *Service {
+	class, _ := parseClass(src.Class)
+	c := &Service{src: src, class: class, shares: make([]float64, len(regions)), byRegion: make([][]*Upstream, len(regions))}
+	total := 0
+	for _, w := range src.Shares {
+		total += w
+	}
+	for i, r := range regions {
+		c.shares[i] = float64(src.Shares[r.name]) / float64(total)
+	}
+	for _, r := range src.Routes {
+		class, _ := parseClass(r.Class)
+		c.routes = append(c.routes, route{r.Method, r.Prefix, class})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/version/planner/source.go
@@ -0,0 +1,187 @@
+package planner
+
+import (
+	"encoding/json"
+	"maps"
+	"net/netip"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// source is the configuration as written, from which a Plan is compiled and
+// which a snapshot stores.
+type source struct {
+	Regions   map[string]noter.Region   `json:"regions"`
+	Links     map[string]noter.Link     `json:"links"`
+	Services  map[string]noter.Service  `json:"services"`
+	Upstreams map[string]noter.Upstream `json:"upstreams"`
+	Customers map[string]noter.Customer `json:"customers"`
+	Sites     map[string]noter.Site     `json:"sites"`
+	Blocks    map[netip.Prefix]string   `json:"blocks"`
+	Offsets   map[string]int            `json:"offsets"`
+	Next      map[string]int            `json:"next"`
+}
+
+func copyOf[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
+	}
+	return maps.Clone(m)
+}
+
+func (s *source) clone() source {
+	return source{
+		Regions:   copyOf(s.Regions),
+		Links:     copyOf(s.Links),
+		Services:  copyOf(s.Services),
+		Upstreams: copyOf(s.Upstreams),
+		Customers: copyOf(s.Customers),
+		Sites:     copyOf(s.Sites),
+		Blocks:    copyOf(s.Blocks),
+		Offsets:   copyOf(s.Offsets),
+		Next:      copyOf(s.Next),
+	}
+}
+
+// merge puts added and changed items into m and takes withdrawn ones out.
+func merge[K comparable, V any](item string, m map[K]V, key func(V) K, added, changed []V, withdrawn []K) error {
+	touched := make(map[K]bool)
+	once := func(k K) error {
+		if touched[k] {
+			return classifier.Invalid.New("%s %v: listed twice in one release note: keep one entry", item, k)
+		}
+		touched[k] = true
+		return nil
+	}
+	for _, k := range withdrawn {
+		if err := once(k); err != nil {
+			return err
+		}
+		if _, ok := m[k]; !ok {
+			return classifier.Invalid.New("%s %v: withdrawn but not defined: remove it from \"withdrawn\"", item, k)
+		}
+		delete(m, k)
+	}
+	for _, v := range changed {
+		k := key(v)
+		if err := once(k); err != nil {
+			return err
+		}
+		if _, ok := m[k]; !ok {
+			return classifier.Invalid.New("%s %v: changed but not defined: move it to \"added\"", item, k)
+		}
+		m[k] = v
+	}
+	for _, v := range added {
+		k := key(v)
+		if err := once(k); err != nil {
+			return err
+		}
+		if _, ok := m[k]; ok {
+			return classifier.Invalid.New("%s %v: added but already defined: move it to \"changed\"", item, k)
+		}
+		m[k] = v
+	}
+	return nil
+}
+
+func (s *source) apply(n *noter.Note) error {
+	prefixes := make([]netip.Prefix, 0, len(n.Withdrawn.Blocks))
+	for _, text := range n.Withdrawn.Blocks {
+		prefix, err := netip.ParsePrefix(text)
+		if err != nil {
+			return classifier.Invalid.New("block %q: not a prefix such as \"192.0.2.0/24\"", text)
+		}
+		prefixes = append(prefixes, prefix.Masked())
+	}
+	a, c, w := &n.Added, &n.Changed, &n.Withdrawn
+	steps := []error{
+		merge("region", s.Regions, func(r noter.Region) string { return r.Name }, a.Regions, c.Regions, w.Regions),
+		merge("link", s.Links, noter.Link.Name, a.Links, c.Links, w.Links),
+		merge("service", s.Services, func(v noter.Service) string { return v.Name }, a.Services, c.Services, w.Services),
+		merge("upstream", s.Upstreams, func(u noter.Upstream) string { return u.Name }, a.Upstreams, c.Upstreams, w.Upstreams),
+		merge("customer", s.Customers, func(v noter.Customer) string { return v.Name }, a.Customers, c.Customers, w.Customers),
+		merge("site", s.Sites, func(v noter.Site) string { return v.Name }, a.Sites, c.Sites, w.Sites),
+		s.applyBlocks(a.Blocks, c.Blocks, prefixes),
+	}
+	for _, err := range steps {
+		if err != nil {
+			return err
+		}
+	}
+	s.assignOffsets(n)
+	return nil
+}
+
+func (s *source) applyBlocks(added, changed []noter.Block, withdrawn []netip.Prefix) error {
+	m := make(map[netip.Prefix]noter.Block)
+	for _, list := range [][]noter.Block{added, changed} {
+		for _, b := range list {
+			if !b.Prefix.IsValid() || b.Prefix != b.Prefix.Masked() {
+				return classifier.Invalid.New("block %v: prefix has bits below its length: write %v", b.Prefix, b.Prefix.Masked())
+			}
+			if site, ok := s.Blocks[b.Prefix]; ok {
+				m[b.Prefix] = noter.Block{Prefix: b.Prefix, Site: site}
+			}
+		}
+	}
+	for _, p := range withdrawn {
+		if site, ok := s.Blocks[p]; ok {
+			m[p] = noter.Block{Prefix: p, Site: site}
+		}
+	}
+	err := merge("block", m, func(b noter.Block) netip.Prefix { return b.Prefix }, added, changed, withdrawn)
+	if err != nil {
+		return err
+	}
+	for _, p := range withdrawn {
+		delete(s.Blocks, p)
+	}
+	for p, b := range m {
+		s.Blocks[p] = b.Site
+	}
+	return nil
+}
+
+// assignOffsets gives each new upstream the running sum of its service's slots,
+// so that the slots of a service spread evenly over the shares of its limit.
+func (s *source) assignOffsets(n *noter.Note) {
+	for _, name := range n.Withdrawn.Upstreams {
+		delete(s.Offsets, name)
+	}
+	for _, u := range n.Added.Upstreams {
+		s.Offsets[u.Name] = s.Next[u.Service]
+		s.Next[u.Service] += u.Slots
+	}
+}
+
+// Encode returns the whole version as JSON, for a snapshot.
+func (p *Plan) Encode() ([]byte, error) {
+	return json.Marshal(snapshot{Version: p.version, Chain: p.chain[:], ID: p.id, Source: &p.source})
+}
+
+type snapshot struct {
+	Version uint64  `json:"version"`
+	Chain   []byte  `json:"chain"`
+	ID      string  `json:"id"`
+	Source  *source `json:"source"`
+}
+
+// Decode reads a version that Encode wrote, and checks its content.
+func Decode(raw []byte) (*Plan, error) {
+	var snap snapshot
+	if err := json.Unmarshal(raw, &snap); err != nil {
+		return nil, classifier.Invalid.Wrap(err, "snapshot")
+	}
+	if snap.Source == nil || len(snap.Chain) != len(Chain{}) {
+		return nil, classifier.Invalid.New("snapshot: source or chain is missing")
+	}
+	p := &Plan{version: snap.Version, id: snap.ID, source: snap.Source.clone()}
+	copy(p.chain[:], snap.Chain)
+	if err := p.source.check(); err != nil {
+		return nil, err
+	}
+	p.compile()
+	return p, nil
+}
