Find the site of a client by longest prefix

Cause: 1.7 million client blocks must fit in a node's 32 MB together with all else and change without a pause of look-ups.

--- a/internal/version/planner/check.go
+++ b/internal/version/planner/check.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"dandeliontrack.example/dandeliontrack/internal/version/locator"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -234,9 +235,25 @@
 			return invalid("site %q: field \"zone\": availability zone %q is not defined: add it or correct the name", name, z)
 		}
 	}
-	for prefix, site := range s.Blocks {
+	return nil
+}
+
+// checkBlocks reports blocks of the note, or blocks that were there before, that
+// refer to a site which is not defined.
+func (s *source) checkBlocks(n *noter.Note, l *locator.Locator) error {
+	for _, list := range [][]noter.Block{n.Added.Blocks, n.Changed.Blocks} {
+		for _, b := range list {
+			if _, ok := s.Sites[b.Site]; !ok {
+				return invalid("block %v: field \"site\": site %q is not defined: add it or correct the name", b.Prefix, b.Site)
+			}
+		}
+	}
+	if len(n.Withdrawn.Sites) == 0 {
+		return nil
+	}
+	for prefix, site := range l.All() {
 		if _, ok := s.Sites[site]; !ok {
-			return invalid("block %v: field \"site\": site %q is not defined: add it or correct the name", prefix, site)
+			return invalid("site %q: withdrawn, but block %v refers to it: withdraw or change the block too", site, prefix)
 		}
 	}
 	return nil
--- a/internal/version/planner/planner.go
+++ b/internal/version/planner/planner.go
@@ -11,9 +11,11 @@
 import (
 	"crypto/sha256"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/version/locator"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -62,6 +64,7 @@
 	linkTable []*Link
 
 	source source
+	blocks *locator.Locator
 }
 
 // Version returns the number of notes applied so far.
@@ -115,6 +118,9 @@
 	return s.Zone, ok
 }
 
+// Locate returns the site of a client, or "" if no block holds its address.
+func (p *Plan) Locate(client netip.Addr) string { return p.blocks.Find(client) }
+
 // RegionOfZone returns the region that holds the availability zone, or nil.
 func (p *Plan) RegionOfZone(zone string) *Region {
 	for _, r := range p.regions {
@@ -305,6 +311,17 @@
 	if err := src.check(); err != nil {
 		return nil, err
 	}
+	change, err := blockChange(n)
+	if err != nil {
+		return nil, err
+	}
+	blocks, err := p.blocks.Apply(change)
+	if err != nil {
+		return nil, err
+	}
+	if err := src.checkBlocks(n, blocks); err != nil {
+		return nil, err
+	}
 	raw, err := n.Encode()
 	if err != nil {
 		return nil, classifier.Internal.Wrap(err, "encode release note")
@@ -312,7 +329,7 @@
 	h := sha256.New()
 	h.Write(p.chain[:])
 	h.Write(raw)
-	next := &Plan{version: p.version + 1, id: n.ID, source: src}
+	next := &Plan{version: p.version + 1, id: n.ID, source: src, blocks: blocks}
 	h.Sum(next.chain[:0])
 	next.compile()
 	return next, nil
--- a/internal/version/planner/source.go
+++ b/internal/version/planner/source.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 
+	"dandeliontrack.example/dandeliontrack/internal/version/locator"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -18,7 +19,6 @@
 	Upstreams map[string]noter.Upstream `json:"upstreams"`
 	Customers map[string]noter.Customer `json:"customers"`
 	Sites     map[string]noter.Site     `json:"sites"`
-	Blocks    map[netip.Prefix]string   `json:"blocks"`
 	Offsets   map[string]int            `json:"offsets"`
 	Next      map[string]int            `json:"next"`
 }
@@ -38,7 +38,6 @@
 		Upstreams: copyOf(s.Upstreams),
 		Customers: copyOf(s.Customers),
 		Sites:     copyOf(s.Sites),
-		Blocks:    copyOf(s.Blocks),
 		Offsets:   copyOf(s.Offsets),
 		Next:      copyOf(s.Next),
 	}
@@ -87,14 +86,6 @@
 }
 
 func (s *source) apply(n *noter.Note) error {
-	prefixes := make([]netip.Prefix, 0, len(n.Withdrawn.Blocks))
-	for _, text := range n.Withdrawn.Blocks {
-		prefix, err := netip.ParsePrefix(text)
-		if err != nil {
-			return classifier.Invalid.New("block %q: not a prefix such as \"192.0.2.0/24\"", text)
-		}
-		prefixes = append(prefixes, prefix.Masked())
-	}
 	a, c, w := &n.Added, &n.Changed, &n.Withdrawn
 	steps := []error{
 		merge("region", s.Regions, func(r noter.Region) string { return r.Name }, a.Regions, c.Regions, w.Regions),
@@ -103,7 +94,6 @@
 		merge("upstream", s.Upstreams, func(u noter.Upstream) string { return u.Name }, a.Upstreams, c.Upstreams, w.Upstreams),
 		merge("customer", s.Customers, func(v noter.Customer) string { return v.Name }, a.Customers, c.Customers, w.Customers),
 		merge("site", s.Sites, func(v noter.Site) string { return v.Name }, a.Sites, c.Sites, w.Sites),
-		s.applyBlocks(a.Blocks, c.Blocks, prefixes),
 	}
 	for _, err := range steps {
 		if err != nil {
@@ -114,36 +104,6 @@
 	return nil
 }
 
-func (s *source) applyBlocks(added, changed []noter.Block, withdrawn []netip.Prefix) error {
-	m := make(map[netip.Prefix]noter.Block)
-	for _, list := range [][]noter.Block{added, changed} {
-		for _, b := range list {
-			if !b.Prefix.IsValid() || b.Prefix != b.Prefix.Masked() {
-				return classifier.Invalid.New("block %v: prefix has bits below its length: write %v", b.Prefix, b.Prefix.Masked())
-			}
-			if site, ok := s.Blocks[b.Prefix]; ok {
-				m[b.Prefix] = noter.Block{Prefix: b.Prefix, Site: site}
-			}
-		}
-	}
-	for _, p := range withdrawn {
-		if site, ok := s.Blocks[p]; ok {
-			m[p] = noter.Block{Prefix: p, Site: site}
-		}
-	}
-	err := merge("block", m, func(b noter.Block) netip.Prefix { return b.Prefix }, added, changed, withdrawn)
-	if err != nil {
-		return err
-	}
-	for _, p := range withdrawn {
-		delete(s.Blocks, p)
-	}
-	for p, b := range m {
-		s.Blocks[p] = b.Site
-	}
-	return nil
-}
-
 // assignOffsets gives each new upstream the running sum of its service's slots,
 // so that the slots of a service spread evenly over the shares of its limit.
 func (s *source) assignOffsets(n *noter.Note) {
@@ -156,16 +116,41 @@
 	}
 }
 
-// Encode returns the whole version as JSON, for a snapshot.
-func (p *Plan) Encode() ([]byte, error) {
-	return json.Marshal(snapshot{Version: p.version, Chain: p.chain[:], ID: p.id, Source: &p.source})
+// blockChange turns the note's blocks into a change of the locator.
+func blockChange(n *noter.Note) (locator.Change, error) {
+	var c locator.Change
+	for _, b := range n.Added.Blocks {
+		c.Added = append(c.Added, locator.Block(b))
+	}
+	for _, b := range n.Changed.Blocks {
+		c.Changed = append(c.Changed, locator.Block(b))
+	}
+	for _, text := range n.Withdrawn.Blocks {
+		prefix, err := netip.ParsePrefix(text)
+		if err != nil {
+			return c, invalid("block %q: not a prefix such as \"192.0.2.0/24\"", text)
+		}
+		c.Withdrawn = append(c.Withdrawn, prefix)
+	}
+	return c, nil
 }
 
+// snapshot is the encoded form of a Plan. Blocks lists prefixes by site.
 type snapshot struct {
-	Version uint64  `json:"version"`
-	Chain   []byte  `json:"chain"`
-	ID      string  `json:"id"`
-	Source  *source `json:"source"`
+	Version uint64                    `json:"version"`
+	Chain   []byte                    `json:"chain"`
+	ID      string                    `json:"id"`
+	Source  *source                   `json:"source"`
+	Blocks  map[string][]netip.Prefix `json:"blocks"`
+}
+
+// Encode returns the whole version as JSON, for a snapshot.
+func (p *Plan) Encode() ([]byte, error) {
+	s := snapshot{Version: p.version, Chain: p.chain[:], ID: p.id, Source: &p.source, Blocks: make(map[string][]netip.Prefix)}
+	for prefix, site := range p.blocks.All() {
+		s.Blocks[site] = append(s.Blocks[site], prefix)
+	}
+	return json.Marshal(s)
 }
 
 // Decode reads a version that Encode wrote, and checks its content.
@@ -175,13 +160,26 @@
 		return nil, classifier.Invalid.Wrap(err, "snapshot")
 	}
 	if snap.Source == nil || len(snap.Chain) != len(Chain{}) {
-		return nil, classifier.Invalid.New("snapshot: source or chain is missing")
+		return nil, invalid("snapshot: source or chain is missing")
 	}
 	p := &Plan{version: snap.Version, id: snap.ID, source: snap.Source.clone()}
 	copy(p.chain[:], snap.Chain)
 	if err := p.source.check(); err != nil {
 		return nil, err
 	}
+	var c locator.Change
+	for site, prefixes := range snap.Blocks {
+		if _, ok := p.source.Sites[site]; !ok {
+			return nil, invalid("snapshot: site %q of a block is not defined", site)
+		}
+		for _, prefix := range prefixes {
+			c.Added = append(c.Added, locator.Block{Prefix: prefix, Site: site})
+		}
+	}
+	var err error
+	if p.blocks, err = p.blocks.Apply(c); err != nil {
+		return nil, err
+	}
 	p.compile()
 	return p, nil
 }
