--- /dev/null
+++ b/pkg/caller/caller_test.go
@@ -0,0 +1,102 @@
+package caller_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/pkg/caller"
+)
+
+// host answers look-ups with the given hosts and requests with the handler.
+func host(t *testing.T, hosts func() []string, version *int, handler http.HandlerFunc) string {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/lookup/catalog", func(w http.ResponseWriter, _ *http.Request) {
+		var entries []string
+		for _, h := range hosts() {
+			entries = append(entries, fmt.Sprintf(`{"name":"n","address":%q,"zone":"z"}`, h))
+		}
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintf(w, `{"service":"catalog","lifetime":0,"version":%d,"hosts":[%s]}`, *version, strings.Join(entries, ","))
+	})
+	mux.HandleFunc("/s/catalog/", handler)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func refuse(outcome string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Outcome", outcome)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Guards against a request that is sent again although it may have run, and
+// against one that fails although another host would serve it.
+func TestNextHost(t *testing.T) {
+	served := 0
+	tests := map[string]struct {
+		first  func(t *testing.T) string
+		status int
+		served int
+	}{
+		"dead":         {func(*testing.T) string { return "127.0.0.1:1" }, 200, 1},
+		"not run":      {func(t *testing.T) string { return host(t, nil, nil, refuse("not-run")) }, 200, 1},
+		"may have run": {func(t *testing.T) string { return host(t, nil, nil, refuse("may-have-run")) }, 503, 0},
+		"ran":          {func(t *testing.T) string { return host(t, nil, nil, refuse("ran")) }, 503, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			served = 0
+			version := 1
+			var list []string
+			good := host(t, func() []string { return list }, &version, func(w http.ResponseWriter, r *http.Request) {
+				served++
+				_, _ = io.Copy(w, r.Body)
+			})
+			list = []string{test.first(t), good}
+			req, err := http.NewRequest("POST", "/order?x=1", strings.NewReader("body"))
+			assert.NilError(t, err)
+			resp, err := caller.New([]string{"127.0.0.1:1", good}, nil).Do("catalog", req)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			assert.Equal(t, resp.StatusCode, test.status)
+			assert.Equal(t, served, test.served)
+			if test.served == 1 {
+				body, err := io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), "body")
+			}
+		})
+	}
+}
+
+// Guards against callers that return to hosts of an older configuration, and
+// that fail at once when nobody answers a look-up.
+func TestOlderListIsNotTaken(t *testing.T) {
+	version, list := 5, []string{"127.0.0.1:2"}
+	seed := host(t, func() []string { return list }, &version, refuse("not-run"))
+	c := caller.New([]string{seed}, nil)
+	for _, v := range []int{5, 4, 6} {
+		version, list[0] = v, fmt.Sprint("127.0.0.1:", v)
+		hosts, err := c.Hosts(t.Context(), "catalog")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, hosts, []string{fmt.Sprint("127.0.0.1:", max(v, 5))})
+	}
+	_, err := caller.New(nil, nil).Hosts(t.Context(), "catalog")
+	assert.ErrorContains(t, err, "no entry host")
+}
+
+func ExampleCaller() {
+	c := caller.New([]string{"127.0.0.1:1"}, nil)
+	req, _ := http.NewRequest("GET", "/price/42", nil)
+	_, err := c.Do("catalog", req)
+	fmt.Println(err != nil)
+	// Output: true
+}
