--- a/internal/process/shifter/shifter_test.go
+++ b/internal/process/shifter/shifter_test.go
@@ -145,9 +145,10 @@
 	if f.rng.IntN(8) == 0 {
 		f.saved, _ = h.Encode()
 	}
+	v := h.Vector()
 	for _, o := range f.hosts {
 		if o != h && o.apart == h.apart && f.now >= o.gone && !o.restart {
-			assert.NilError(f.t, o.OnPeer(fmt.Sprintf("%p", h), h.Vector(), f.local(o)))
+			assert.NilError(f.t, o.OnPeer(fmt.Sprintf("%p", h), v, f.local(o)))
 		}
 	}
 }
