Choose region and upstream by weight, load and health

The router knew only the operator's shares. It now takes the region from the effective weights, leaves it only within the cap, and takes the better of two upstreams.

--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
@@ -52,10 +53,17 @@
 	if s == nil {
 		return classifier.Unknown.New("service %q is not defined", name)
 	}
-	up, err := f.router.Choose(s)
+	choice, err := f.router.Choose(time.Now(), &router.Query{
+		Plan: plan, Service: s, Class: s.ClassOf(r.Method, "/"+path),
+		Customer: plan.Customer(r.Header.Get("Customer")), Hash: xxhash.Sum64String(id),
+	})
 	if err != nil {
 		return err
 	}
+	up := choice.Upstream()
+	if up == nil {
+		return classifier.Overloaded.New("service %q: no free slot in region %q", name, choice.Region().Name())
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.Timeout())
 	defer cancel()
 	resp, err := f.send(ctx, r, up, "/"+path, id)
--- /dev/null
+++ b/internal/request/router/pick.go
@@ -0,0 +1,156 @@
+package router
+
+import (
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+)
+
+const (
+	// draws is how often an upstream is drawn at random before the list is
+	// read in order.
+	draws = 8
+
+	// zoneMargin is how much higher the score of the best upstream drawn from
+	// the own zone may be than that of one in another zone. A score of 1 is
+	// about one request for each slot.
+	zoneMargin = 0.25
+
+	// errorPenalty multiplies the score by up to 1+errorPenalty. An upstream
+	// that fails quickly always has few requests in flight, so its score must
+	// rise above that of a busy one. The square leaves single errors without
+	// effect.
+	errorPenalty = 32
+)
+
+// candidate is an upstream that can take the request now.
+type candidate struct {
+	upstream *planner.Upstream
+	reading  gauger.Reading
+	flight   int
+}
+
+// score estimates how loaded the upstream is. The reported load counts with the
+// given weight, and never less than this host's own requests.
+func (c *candidate) score(weight float64) float64 {
+	e := c.reading.Errors()
+	if c.reading.Warm() <= 0 {
+		// Nothing is known about any upstream.
+		return 0
+	}
+	load := float64(1+c.flight) + weight*float64(max(c.reading.Load(), c.flight))
+	return load / (float64(c.upstream.Slots()) * c.reading.Warm()) * (1 + errorPenalty*e*e)
+}
+
+// better returns the candidate with the lower score and its score. Both loads
+// count with the weight of the older report, so that an upstream without recent
+// reports is not taken for an idle one.
+func better(a, b candidate) (candidate, float64) {
+	switch {
+	case a.upstream == nil && b.upstream == nil:
+		return a, 0
+	case b.upstream == nil:
+		return a, a.score(a.reading.LoadWeight())
+	case a.upstream == nil:
+		return b, b.score(b.reading.LoadWeight())
+	}
+	w := min(a.reading.LoadWeight(), b.reading.LoadWeight())
+	x, y := a.score(w), b.score(w)
+	if y < x {
+		return b, y
+	}
+	return a, x
+}
+
+// pick returns an upstream of the region. Without one, full says that there is
+// an upstream that only lacks a free slot.
+func (r *Router) pick(now time.Time, q *Query, region *planner.Region, rng *stream) (u *planner.Upstream, full bool) {
+	near, far := r.zones(q, region.Index())
+	a, score, nearFull := r.pair(now, q, near, rng)
+	if a.upstream != nil && (len(far) == 0 || score <= zoneMargin) {
+		return a.upstream, false
+	}
+	b, other, farFull := r.pair(now, q, far, rng)
+	if a.upstream != nil && b.upstream != nil {
+		w := min(a.reading.LoadWeight(), b.reading.LoadWeight())
+		score, other = a.score(w), b.score(w)
+	}
+	switch {
+	case b.upstream == nil || (a.upstream != nil && score <= other+zoneMargin):
+		return a.upstream, nearFull || farFull
+	default:
+		return b.upstream, false
+	}
+}
+
+// pair draws two candidates and returns the better one with its score.
+func (r *Router) pair(now time.Time, q *Query, ups []*planner.Upstream, rng *stream) (c candidate, score float64, full bool) {
+	var first candidate
+	n := len(ups)
+	if n == 0 {
+		return first, 0, false
+	}
+	for range draws {
+		found, lacks := r.examine(now, q, ups[rng.below(n)], rng)
+		full = full || lacks
+		if found.upstream == nil {
+			continue
+		}
+		if first.upstream == nil {
+			first = found
+			continue
+		}
+		if n > 1 && found.upstream == first.upstream {
+			continue
+		}
+		c, score = better(first, found)
+		return c, score, full
+	}
+	if first.upstream != nil {
+		c, score = better(first, candidate{})
+		return c, score, full
+	}
+	start := rng.below(n)
+	for i := range n {
+		found, lacks := r.examine(now, q, ups[(start+i)%n], rng)
+		full = full || lacks
+		if found.upstream != nil {
+			c, score = better(found, candidate{})
+			return c, score, full
+		}
+	}
+	return candidate{}, 0, full
+}
+
+// examine returns the upstream as a candidate if it can take the request now;
+// otherwise lacks says that only a free slot is missing.
+func (r *Router) examine(now time.Time, q *Query, u *planner.Upstream, rng *stream) (c candidate, lacks bool) {
+	if q.excludes(u) {
+		q.pass(u.Region(), u, "tried before")
+		return candidate{}, false
+	}
+	if r.gauge == nil || r.capacity == nil {
+		return candidate{upstream: u}, false
+	}
+	reading := r.gauge.Read(u, now)
+	if !reading.Usable() {
+		reason := reading.State().String()
+		if reading.Shedding() {
+			reason = "shedding"
+		}
+		q.pass(u.Region(), u, reason)
+		return candidate{}, false
+	}
+	free, flight := r.capacity.Free(u), r.capacity.Flight(u)
+	if free <= 0 {
+		q.pass(u.Region(), u, "no free slot")
+		return candidate{}, true
+	}
+	// A part of a slot is used by that part of the draws.
+	if warm := reading.Warm(); warm < 1 && float64(flight)+rng.unit() > warm*float64(free+flight) {
+		q.pass(u.Region(), u, "warming up")
+		return candidate{}, true
+	}
+	return candidate{u, reading, flight}, false
+}
--- /dev/null
+++ b/internal/request/router/router_test.go
@@ -0,0 +1,218 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
+	"dandeliontrack.example/dandeliontrack/internal/process/shifter"
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+var now = time.Unix(1e9, 0)
+
+type units map[string][2]int // free and in flight
+
+func (c units) Free(u *planner.Upstream) int {
+	if v, ok := c[u.Name()]; ok {
+		return v[0]
+	}
+	return 2
+}
+func (c units) Flight(u *planner.Upstream) int { return c[u.Name()][1] }
+
+type links string
+
+func (l links) Failing(r *planner.Region) bool { return r.Name() == string(l) }
+
+// plan returns regions r0, r1 … with n upstreams each, in two zones.
+func plan(t testing.TB, regions, n int) *planner.Plan {
+	note := &noter.Note{ID: "first"}
+	s := noter.Service{Name: "catalog", Class: "lookup", Shares: map[string]int{}, Cap: noter.Cap{Fraction: 0.1, Every: noter.Duration(time.Minute)}, Timeout: noter.Duration(time.Second)}
+	for i := range regions {
+		r := fmt.Sprint("r", i)
+		s.Shares[r] = 1
+		note.Added.Regions = append(note.Added.Regions, noter.Region{Name: r, Zones: []string{r + "-a", r + "-b"}, Slots: 100})
+		for j := range regions {
+			if i != j {
+				note.Added.Links = append(note.Added.Links, noter.Link{From: r, To: fmt.Sprint("r", j), Rate: 1})
+			}
+		}
+		for j := range n {
+			note.Added.Upstreams = append(note.Added.Upstreams, noter.Upstream{Name: fmt.Sprintf("%s-u%d", r, j), Service: "catalog", Region: r, Zone: r + "-" + "ab"[j%2:j%2+1], Address: fmt.Sprintf("127.%d.%d.1:%d", i, j>>8, 1000+j&255), Slots: 9, Connections: 30})
+		}
+	}
+	note.Added.Services = []noter.Service{s}
+	note.Added.Customers = []noter.Customer{{Name: "stays", Hold: "stay"}}
+	p, err := new(planner.Plan).Apply(note)
+	assert.NilError(t, err)
+	return p
+}
+
+func build(p *planner.Plan, c Capacity) (*Router, *gauger.Gauger, *shifter.Shifter) {
+	g, s := gauger.New(now.Add(-time.Minute)), shifter.New(now)
+	g.Install(p, now)
+	s.Install(p, now)
+	r := New(c, s, g, Place{"r0", "r0-a"})
+	r.Install(p)
+	return r, g, s
+}
+
+// failRegion makes every upstream of r0 but keep fail.
+func failRegion(g *gauger.Gauger, p *planner.Plan, keep string) {
+	for i := range 20 {
+		at := now.Add(time.Duration(i-20) * time.Second / 2)
+		for _, u := range p.Services()[0].UpstreamsIn(0) {
+			if u.Name() != keep {
+				g.OnHealth(u.Name(), gauger.Failed, at, at)
+			}
+		}
+		g.Evaluate(at)
+	}
+}
+
+// Guards against a request that leaves its region without allowance, waits at a
+// failed region, or is refused although its region can serve it.
+func TestRegionOfRequest(t *testing.T) {
+	full := units{}
+	for i := range 12 {
+		full[fmt.Sprint("r0-u", i)] = [2]int{0, 2}
+	}
+	for name, c := range map[string]struct {
+		capacity units
+		failed   bool
+		link     links
+		query    Query
+		counted  int
+		region   string
+		wait     bool
+		err      classifier.Kind
+	}{
+		"served at home":               {region: "r0"},
+		"full: waits":                  {capacity: full, region: "r0", wait: true},
+		"full and late, no allowance":  {capacity: full, query: Query{Late: true}, err: classifier.Overloaded},
+		"full and late, allowance":     {capacity: full, query: Query{Late: true}, counted: 1000, region: "r1"},
+		"failed, no allowance":         {failed: true, err: classifier.Shifting},
+		"failed, allowance":            {failed: true, counted: 1000, region: "r1"},
+		"failed, customer stays":       {failed: true, query: Query{Customer: &planner.Customer{}}, region: "r0"},
+		"link failing, no allowance":   {link: "r0", err: classifier.Shifting},
+		"link failing, with allowance": {link: "r0", counted: 1000, region: "r1"},
+	} {
+		p := plan(t, 2, 12)
+		r, g, s := build(p, c.capacity)
+		if c.failed {
+			failRegion(g, p, "r0-u0")
+		}
+		r.Watch(c.link)
+		for range c.counted {
+			s.Count(p.Services()[0])
+		}
+		q := c.query
+		q.Plan, q.Service = p, p.Services()[0]
+		if q.Customer != nil {
+			q.Customer = p.Customer("stays")
+		}
+		// The first hash whose point lies in r0, the first half of the weights.
+		for rng := stream(q.Hash); rng.unit() >= 0.5; rng = stream(q.Hash) {
+			q.Hash++
+		}
+		got, err := r.Choose(now, &q)
+		if c.region == "" {
+			assert.Check(t, classifier.Of(err) == c.err, "%s: %v", name, err)
+			continue
+		}
+		assert.NilError(t, err, name)
+		assert.Check(t, got.Region().Name() == c.region, name)
+		assert.Check(t, (got.Upstream() == nil) == c.wait, name)
+		assert.Check(t, got.Crossed() == (c.region == "r1"), name)
+	}
+}
+
+// Guards against an upstream that must not get the request: each of these is
+// the only one with a reason to be passed over, and the trace names it.
+func TestUpstreamsPassedOver(t *testing.T) {
+	for reason, spoil := range map[string]func(*gauger.Gauger, units, *Query, *planner.Upstream){
+		"draining": func(g *gauger.Gauger, _ units, _ *Query, u *planner.Upstream) {
+			g.OnLeaving(u.Name(), gauger.PeerSign, now)
+		},
+		"failed":       func(g *gauger.Gauger, _ units, _ *Query, u *planner.Upstream) { g.OnRefused(u, now) },
+		"shedding":     func(g *gauger.Gauger, _ units, _ *Query, u *planner.Upstream) { g.OnShed(u, now.Add(time.Second)) },
+		"no free slot": func(_ *gauger.Gauger, c units, _ *Query, u *planner.Upstream) { c[u.Name()] = [2]int{0, 2} },
+		"tried before": func(_ *gauger.Gauger, _ units, q *Query, u *planner.Upstream) { q.Try(u) },
+	} {
+		p, c, seen := plan(t, 1, 4), units{}, 0
+		r, g, _ := build(p, c)
+		bad := p.Upstreams()[2]
+		q := Query{Plan: p, Service: p.Services()[0]}
+		spoil(g, c, &q, bad)
+		q.Trace = func(s Pass) {
+			assert.Check(t, s.Upstream() == bad && s.Region() == bad.Region() && s.Reason() == reason, "%s: %v", reason, s.Reason())
+			seen++
+		}
+		for q.Hash = range 500 {
+			got, err := r.Choose(now, &q)
+			assert.NilError(t, err)
+			assert.Check(t, got.Upstream() != bad, reason)
+		}
+		assert.Check(t, seen > 0, reason)
+	}
+}
+
+// Guards against requests that leave the host's zone without need, and against
+// a zone that is preferred although it is loaded.
+func TestZonePreference(t *testing.T) {
+	for name, c := range map[string]struct{ load, want int }{"idle": {0, 1000}, "own zone loaded": {9, 0}} {
+		p, own := plan(t, 1, 8), 0
+		r, g, _ := build(p, units{})
+		for _, u := range p.Upstreams() {
+			if u.Zone() == "r0-a" {
+				g.OnLoad(u.Name(), c.load, now)
+			} else {
+				g.OnLoad(u.Name(), 0, now)
+			}
+		}
+		q := Query{Plan: p, Service: p.Services()[0]}
+		for q.Hash = range 1000 {
+			got, err := r.Choose(now, &q)
+			assert.NilError(t, err)
+			if got.Upstream().Zone() == "r0-a" {
+				own++
+			}
+		}
+		assert.Check(t, own == c.want, "%s: %d of 1000 in the own zone", name, own)
+	}
+}
+
+// Guards against a hot path that allocates.
+func TestChooseDoesNotAllocate(t *testing.T) {
+	p := plan(t, 3, 14)
+	r, _, _ := build(p, units{})
+	q := Query{Plan: p, Service: p.Services()[0]}
+	assert.Equal(t, testing.AllocsPerRun(1000, func() { q.Hash++; _, _ = r.Choose(now, &q) }), 0.0)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for name, size := range map[string][2]int{"today": {3, 14}, "target": {58, 345}} {
+		b.Run(name, func(b *testing.B) {
+			p := plan(b, size[0], size[1])
+			r, g, _ := build(p, units{})
+			for i, u := range p.Upstreams() {
+				g.OnLoad(u.Name(), i%9, now)
+				g.OnAnswer(u, i%7 == 0, now)
+			}
+			q := Query{Plan: p, Service: p.Services()[0]}
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Hash += 0x9e3779b97f4a7c15
+				if _, err := r.Choose(now, &q); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
