--- a/internal/process/shifter/ring.go
+++ b/internal/process/shifter/ring.go
@@ -79,3 +79,11 @@
 	}
 	return moved, float64(more) / float64(requests)
 }
+
+// bursts reports whether one more crossing would pass the given part of the
+// latest requests. One crossing in two parts is always possible.
+func (r *ring) bursts(part float64) bool {
+	a, b := r.slots[r.at], r.slots[(r.at+len(r.slots)-1)%len(r.slots)]
+	crossed, requests := a.crossed+b.crossed, a.requests+b.requests
+	return crossed > 0 && float64(crossed+1) > part*float64(requests)
+}
--- a/internal/process/shifter/shifter.go
+++ b/internal/process/shifter/shifter.go
@@ -338,7 +338,8 @@
 // Spend reports whether one request may run in another region than its weight
 // gave, and draws it from the cap: the requests that crossed in the trailing
 // window, as a part of all requests in it, plus the mass moved stay within the
-// cap. Requests that cross use at most a quarter of the cap.
+// cap. Requests that cross use at most a quarter of the cap, in the window and
+// in its latest part, so that they do not arrive elsewhere all at once.
 func (s *Shifter) Spend(svc *planner.Service, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -349,7 +350,7 @@
 	st.count(now)
 	moved, crossed := st.ring.with(1)
 	total := budget(st.service)
-	if crossed > total*crossPart || moved+crossed > total {
+	if crossed > total*crossPart || moved+crossed > total || st.ring.bursts(total*crossPart) {
 		return false
 	}
 	st.ring.add(slot{crossed: 1})
--- /dev/null
+++ b/internal/request/retrier/retrier.go
@@ -0,0 +1,247 @@
+// Package retrier decides whether an attempt that failed is repeated and
+// whether a look-up is hedged, within one budget for each service.
+//
+//	r := retrier.New()
+//	r.Request(service, now)
+//	ok, reason := r.Retry(service, attempt, now)
+package retrier
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+const (
+	// minimum is the number of extra attempts per second that a service may
+	// make with little traffic, where a fraction of its requests is below one.
+	minimum = 1.0
+
+	// burst bounds the attempts saved up. Over a span of t seconds with n
+	// requests there are at most burst + minimum*t + fraction*n extra attempts.
+	burst = 10.0
+
+	// attempts bounds the attempts of one request, the first one included.
+	attempts = 4
+
+	// window is the time after which latencies are forgotten, two windows at
+	// most, and samples the number from which their p95 is used.
+	window  = 10 * time.Second
+	samples = 50
+
+	// refresh is the period at which the p95 is computed again.
+	refresh = time.Second
+
+	longest = time.Minute
+	digits  = 2
+)
+
+// Reason says why an attempt may or may not be repeated.
+type Reason uint8
+
+// The reasons.
+const (
+	Allowed   Reason = iota
+	Started          // the answer has begun to reach the caller
+	MayRepeat        // repeating it could run the work twice
+	Final            // another attempt cannot end differently
+	Shedding         // the next target sheds load
+	Deadline         // no time is left
+	Attempts         // the request had its last attempt
+	Budget           // the service's budget is used up
+)
+
+var reasons = [...]string{"allowed", "answer started", "could run twice", "final", "target sheds load", "deadline", "attempts used up", "budget used up"}
+
+// String returns the reason in a few words.
+func (r Reason) String() string { return reasons[r] }
+
+// Attempt holds the facts about a failed attempt and the next one's target.
+type Attempt struct {
+	Class    planner.Class
+	Kind     classifier.Kind // how the attempt failed
+	Number   int             // 1 for the first attempt
+	Deadline time.Time       // of the request
+
+	// Dispatched means that a byte of the request may have reached the upstream.
+	Dispatched bool
+
+	// Started means that a byte of the answer went to the caller.
+	Started bool
+
+	// Shedding means that the upstream or the region that the next attempt would
+	// go to sheds load.
+	Shedding bool
+}
+
+// Retrier holds the budgets. All methods are safe for concurrent use.
+type Retrier struct {
+	budgets sync.Map // service name to *budget
+}
+
+// New returns a Retrier whose services have a full burst.
+func New() *Retrier { return new(Retrier) }
+
+type budget struct {
+	mu       sync.Mutex
+	tokens   float64
+	last     time.Time
+	rotated  time.Time
+	computed time.Time
+	latency  [2]*hdrhistogram.Histogram
+	p95      atomic.Int64
+}
+
+func (r *Retrier) budget(s *planner.Service, now time.Time) *budget {
+	if b, ok := r.budgets.Load(s.Name()); ok {
+		return b.(*budget)
+	}
+	b := &budget{tokens: burst, last: now, rotated: now}
+	for i := range b.latency {
+		b.latency[i] = hdrhistogram.New(1, longest.Microseconds(), digits)
+	}
+	actual, _ := r.budgets.LoadOrStore(s.Name(), b)
+	return actual.(*budget)
+}
+
+// Keep forgets the services that the plan does not have.
+func (r *Retrier) Keep(p *planner.Plan) {
+	r.budgets.Range(func(name, _ any) bool {
+		if p.Service(name.(string)) == nil {
+			r.budgets.Delete(name)
+		}
+		return true
+	})
+}
+
+// Request adds one request to the service's budget. Call it once for each
+// request, not for each attempt.
+func (r *Retrier) Request(s *planner.Service, now time.Time) {
+	b := r.budget(s, now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens = min(b.tokens+s.Retry(), burst)
+}
+
+func (b *budget) refill(now time.Time) {
+	if dt := now.Sub(b.last); dt > 0 {
+		b.tokens = min(b.tokens+minimum*dt.Seconds(), burst)
+		b.last = now
+	}
+}
+
+// take draws one attempt. A service whose fraction is 0 has none.
+func (b *budget) take(s *planner.Service, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	if s.Retry() == 0 || b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Retry reports whether the attempt may be followed by another one, and why
+// not. If it may, the budget is charged.
+func (r *Retrier) Retry(s *planner.Service, a Attempt, now time.Time) (bool, Reason) {
+	if reason := a.check(now); reason != Allowed {
+		return false, reason
+	}
+	if !r.budget(s, now).take(s, now) {
+		return false, Budget
+	}
+	return true, Allowed
+}
+
+func (a *Attempt) check(now time.Time) Reason {
+	switch {
+	case a.Started:
+		return Started
+	case a.Class == planner.Once && a.Dispatched:
+		return MayRepeat
+	}
+	switch a.Kind {
+	case classifier.Unreachable, classifier.Shed:
+	case classifier.Failed, classifier.TimedOut, classifier.Crossed, classifier.Truncated:
+		// These may have run.
+		if a.Class == planner.Once {
+			return MayRepeat
+		}
+	default:
+		return Final
+	}
+	switch {
+	case a.Shedding:
+		return Shedding
+	case !now.Before(a.Deadline):
+		return Deadline
+	case a.Number >= attempts:
+		return Attempts
+	}
+	return Allowed
+}
+
+// OnAnswer records the time from dispatch to the first byte of a look-up's
+// answer, for hedging.
+func (r *Retrier) OnAnswer(s *planner.Service, took time.Duration, now time.Time) {
+	if !s.Hedge() {
+		return
+	}
+	b := r.budget(s, now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.rotated) >= window {
+		b.latency[0], b.latency[1] = b.latency[1], b.latency[0]
+		b.latency[0].Reset()
+		b.rotated = now
+	}
+	value := min(max(took.Microseconds(), 1), longest.Microseconds())
+	if b.latency[0].RecordValue(value) != nil || now.Sub(b.computed) < refresh {
+		return
+	}
+	b.computed = now
+	if b.latency[0].TotalCount()+b.latency[1].TotalCount() < samples {
+		b.p95.Store(0)
+		return
+	}
+	both := hdrhistogram.New(1, longest.Microseconds(), digits)
+	both.Merge(b.latency[0])
+	both.Merge(b.latency[1])
+	b.p95.Store(both.ValueAtQuantile(95) * int64(time.Microsecond))
+}
+
+// HedgeAfter returns the time after which a look-up without an answer may be
+// sent to a second upstream, and whether it may be hedged at all: class lookup,
+// if the service says so and enough latencies are known.
+func (r *Retrier) HedgeAfter(s *planner.Service, c planner.Class, now time.Time) (time.Duration, bool) {
+	if c != planner.Lookup || !s.Hedge() {
+		return 0, false
+	}
+	p95 := time.Duration(r.budget(s, now).p95.Load())
+	return p95, p95 > 0
+}
+
+// Hedge draws a hedge from the budget that retries use. The caller cancels the
+// loser.
+func (r *Retrier) Hedge(s *planner.Service, a Attempt, now time.Time) (bool, Reason) {
+	switch {
+	case a.Class != planner.Lookup || !s.Hedge():
+		return false, Final
+	case a.Started:
+		return false, Started
+	case a.Shedding:
+		return false, Shedding
+	case !now.Before(a.Deadline):
+		return false, Deadline
+	case !r.budget(s, now).take(s, now):
+		return false, Budget
+	}
+	return true, Allowed
+}
--- a/internal/request/router/pick.go
+++ b/internal/request/router/pick.go
@@ -43,6 +43,17 @@
 	return load / (float64(c.upstream.Slots()) * c.reading.Warm()) * (1 + errorPenalty*e*e)
 }
 
+// weight returns how much the reported load counts. A report of zero counts as
+// no report: a faulty endpoint that always says zero would draw up to twice an
+// equal share, and own requests alone are too few to correct it when many hosts
+// use the upstream.
+func (c *candidate) weight() float64 {
+	if c.reading.Load() == 0 {
+		return 0
+	}
+	return c.reading.LoadWeight()
+}
+
 // better returns the candidate with the lower score and its score. Both loads
 // count with the weight of the older report, so that an upstream without recent
 // reports is not taken for an idle one.
@@ -51,11 +62,11 @@
 	case a.upstream == nil && b.upstream == nil:
 		return a, 0
 	case b.upstream == nil:
-		return a, a.score(a.reading.LoadWeight())
+		return a, a.score(a.weight())
 	case a.upstream == nil:
-		return b, b.score(b.reading.LoadWeight())
+		return b, b.score(b.weight())
 	}
-	w := min(a.reading.LoadWeight(), b.reading.LoadWeight())
+	w := min(a.weight(), b.weight())
 	x, y := a.score(w), b.score(w)
 	if y < x {
 		return b, y
@@ -73,7 +84,7 @@
 	}
 	b, other, farFull := r.pair(now, q, far, rng)
 	if a.upstream != nil && b.upstream != nil {
-		w := min(a.reading.LoadWeight(), b.reading.LoadWeight())
+		w := min(a.weight(), b.weight())
 		score, other = a.score(w), b.score(w)
 	}
 	switch {
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -126,6 +126,9 @@
 	crossed  bool
 }
 
+// Chosen returns the Choice of an upstream, for other choosers than the Router.
+func Chosen(u *planner.Upstream) Choice { return Choice{region: u.Region(), upstream: u} }
+
 // Region returns the region.
 func (c Choice) Region() *planner.Region { return c.region }
 
