Judge a connection from the start of its request

Queued dials are dropped when nobody waits any more, which cuts the dials of a refusing upstream. go test -race -count=30 ./internal/connection/pool passes.

--- a/internal/connection/pool/check.go
+++ b/internal/connection/pool/check.go
@@ -118,7 +118,7 @@
 func (g *group) probe() {
 	ctx, cancel := context.WithTimeout(g.pool.ctx, checkTime)
 	defer cancel()
-	l, err := g.connect(ctx)
+	l, err := g.connect(ctx, func() bool { return true })
 	if err == nil {
 		err = l.health(ctx)
 	}
--- a/internal/connection/pool/group.go
+++ b/internal/connection/pool/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -160,12 +161,12 @@
 
 // offer gives l to a waiter or to the idle list. Called with mu held.
 func (g *group) offer(l *Link) {
+	l.since = g.now()
 	if w, ok := g.waiters.oldest(); ok {
 		g.lend(l)
 		w.ready <- offer{link: l}
 		return
 	}
-	l.since = g.now()
 	g.idle.push(l)
 }
 
@@ -180,7 +181,7 @@
 }
 
 func (g *group) dial() {
-	l, err := g.connect(g.pool.ctx)
+	l, err := g.connect(g.pool.ctx, g.wanted)
 	g.mu.Lock()
 	g.dialing--
 	if err == nil {
@@ -191,6 +192,11 @@
 		return
 	}
 	g.open--
+	if errors.Is(err, errUnwanted) {
+		g.spawn()
+		g.mu.Unlock()
+		return
+	}
 	g.fail(err)
 	g.mu.Unlock()
 	if g.pool.ctx.Err() == nil {
@@ -198,6 +204,14 @@
 	}
 }
 
+var errUnwanted = errors.New("no request waits for the connection")
+
+func (g *group) wanted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.waiters.size() > 0
+}
+
 // fail refuses all waiters, so that their requests go elsewhere, and holds off
 // new dials for a jittered time. Called with mu held.
 func (g *group) fail(err error) {
@@ -209,28 +223,20 @@
 	}
 }
 
-// connect opens a connection within the dial budget.
-func (g *group) connect(ctx context.Context) (*Link, error) {
+// connect opens a connection within the dial budget, if it is still wanted when
+// its turn comes.
+func (g *group) connect(ctx context.Context, wanted func() bool) (*Link, error) {
 	select {
 	case g.places <- struct{}{}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 	defer func() { <-g.places }()
-	if !g.tokens.Allow() {
-		// The jitter keeps hosts that lost their connections together from
-		// dialing in step. It comes before the token, so that it cannot pack
-		// dials closer than the budget allows.
-		pause := time.NewTimer(rand.N(time.Second / dialsPerSecond))
-		defer pause.Stop()
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-		if err := g.tokens.Wait(ctx); err != nil {
-			return nil, err
-		}
+	if err := g.await(ctx); err != nil {
+		return nil, err
+	}
+	if !wanted() {
+		return nil, errUnwanted
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTime)
 	defer cancel()
@@ -248,3 +254,21 @@
 	}
 	return &Link{group: g, client: client, conn: c, place: -1}, nil
 }
+
+// await takes a token of the dial budget.
+func (g *group) await(ctx context.Context) error {
+	if g.tokens.Allow() {
+		return nil
+	}
+	// The jitter keeps hosts that lost their connections together from dialing in
+	// step. It comes before the token, so that it cannot pack dials closer than
+	// the budget allows.
+	pause := time.NewTimer(rand.N(time.Second / dialsPerSecond))
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return g.tokens.Wait(ctx)
+}
--- a/internal/connection/pool/link.go
+++ b/internal/connection/pool/link.go
@@ -70,6 +70,8 @@
 	if left := time.Until(deadline) / 2; !deadline.IsZero() && left < quiet {
 		quiet = left
 	}
+	// The time before the request was idle time, which is no silence.
+	l.conn.touch()
 	g := l.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
