Forward requests through the pool with an attempt loop

The thin forwarder used http.Transport, which may send a POST twice, dropped request headers and could end a broken answer cleanly.

--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/controller"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
@@ -51,7 +52,9 @@
 		return nil, classifier.Internal.Wrap(err, "API server")
 	}
 	callers := http.NewServeMux()
-	callers.Handle(forwarder.Prefix, forwarder.New(h, new(router.Router)))
+	callers.Handle(forwarder.Prefix, forwarder.New(h, pool.New(pool.Options{}), forwarder.Options{
+		Name: s.Name, Region: s.Region, Body: s.Limits.Body, Chooser: forwarder.Simple(new(router.Router)),
+	}))
 	callers.Handle("/v1/lookup/", server)
 	operators := http.NewServeMux()
 	operators.Handle("/v1/", server)
--- /dev/null
+++ b/internal/request/forwarder/attempt.go
@@ -0,0 +1,280 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// stallTime is how long the body of an answer may make no progress.
+const stallTime = 10 * time.Second
+
+// maxDrain bounds what is read of a refusal to keep its connection.
+const maxDrain = 4 << 10
+
+var (
+	errSilent  = errors.New("the connection is silent while the upstream answers on another one")
+	errStalled = errors.New("the answer made no progress for 10s")
+	errLost    = errors.New("another attempt answered first")
+)
+
+// attempt is one dispatch, or the try of one, to one upstream.
+type attempt struct {
+	x         *exchange
+	up        *planner.Upstream
+	path      *planner.Link // from the upstream's region to the host's, nil within one
+	ticket    Ticket
+	unreserve func()
+	start     time.Time
+	header    http.Header // other than the exchange's, or nil
+	hedged    bool        // another attempt runs at the same time
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	cause   atomic.Pointer[error]
+	arrived atomic.Bool // the header arrived
+	paid    atomic.Bool // the retry that follows is taken from the budget
+	link    *pool.Link
+	resp    *http.Response
+	closed  bool
+}
+
+// stop ends the attempt for a reason of ours.
+func (a *attempt) stop(why error) {
+	if a.cause.CompareAndSwap(nil, &why) {
+		a.cancel()
+	}
+}
+
+// Silent implements pool.Watcher. A slow answer looks like a silent connection,
+// so only a request that may run twice is moved, and only within the budget.
+func (a *attempt) Silent() {
+	if a.arrived.Load() || !a.x.repeatable() {
+		return
+	}
+	if _, ok := a.x.f.options.Budget.Retry(time.Now(), a.x.service); ok {
+		a.paid.Store(true)
+		a.stop(errSilent)
+	}
+}
+
+// Stalled implements pool.Watcher.
+func (a *attempt) Stalled() { a.stop(errStalled) }
+
+// prepare gives the attempt its context. It is called before another goroutine
+// can see the attempt.
+func (a *attempt) prepare() {
+	a.ctx, a.cancel = context.WithDeadline(a.x.context(), a.x.deadline)
+}
+
+// send dispatches the request and waits for the header of the answer. After an
+// error the attempt is closed.
+func (a *attempt) send() error {
+	err := a.exchange()
+	if err == nil {
+		a.arrived.Store(true)
+		a.link.Stream(stallTime)
+		return nil
+	}
+	a.finish(err)
+	return err
+}
+
+func (a *attempt) exchange() (err error) {
+	x := a.x
+	if a.link, err = x.f.pool.Get(a.ctx, a.up.Address()); err != nil {
+		return err
+	}
+	now := time.Now()
+	if !now.Before(x.deadline) || a.ctx.Err() != nil {
+		// The host may have been paused since the unit was taken.
+		return classifier.Expired.New("the deadline passed before dispatch")
+	}
+	if x.class == planner.Once {
+		if x.sent {
+			return classifier.Internal.New("a request that must not be repeated was about to be sent again")
+		}
+		x.sent = true
+	}
+	a.resp, err = a.link.Do(a.request(now), x.deadline, a)
+	if err != nil {
+		return a.explain(err)
+	}
+	return a.check()
+}
+
+// explain gives the error of a failed dispatch its final kind.
+func (a *attempt) explain(err error) error {
+	x := a.x
+	if classifier.Of(err) == classifier.Unreachable {
+		x.sent = false // no byte of it left the host, and the connection is closed
+	}
+	if why := a.cause.Load(); why != nil && classifier.Of(err) != classifier.Unreachable {
+		return classifier.Failed.Wrap(*why, a.up.Name())
+	}
+	if x.upload == nil {
+		return err
+	}
+	if failure := x.upload.err(); failure != nil {
+		if classifier.Of(err) == classifier.Unreachable {
+			return classifier.BadRequest.Wrap(failure, "request body")
+		}
+		return classifier.Failed.Wrap(failure, "request body")
+	}
+	return err
+}
+
+// check decides whether the header belongs to this request and is an answer.
+func (a *attempt) check() error {
+	x, resp := a.x, a.resp
+	if x.service.Echo() && resp.Header.Get("Request-Id") != x.ids[0] {
+		return classifier.Crossed.New("upstream %s answered request %q", a.up.Name(), resp.Header.Get("Request-Id"))
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return classifier.Failed.New("upstream %s switched protocols", a.up.Name())
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return nil
+	}
+	if resp.Header.Get("Outcome") == classifier.NotRun.String() || resp.Header["Draining"] != nil {
+		return classifier.Shed.New("upstream %s refused the request before running it", a.up.Name())
+	}
+	return nil
+}
+
+// request builds what is sent. It has no GetBody, so that no library can send
+// it again.
+func (a *attempt) request(now time.Time) *http.Request {
+	x := a.x
+	h := a.header
+	if h == nil {
+		h = x.outgoing()
+	}
+	setDeadline(h, now, x.deadline)
+	out := &http.Request{
+		Method: x.r.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: a.up.Address(),
+			Path: x.path, RawPath: x.raw, RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
+		},
+		Header: h, ContentLength: x.r.ContentLength,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	switch {
+	case x.buffered:
+		delete(h, "Expect") // the body is here already
+		out.ContentLength = int64(len(x.whole))
+		if len(x.whole) > 0 {
+			out.Body = io.NopCloser(bytes.NewReader(x.whole))
+		}
+	case x.upload != nil:
+		x.upload.link = a.link
+		out.Body = x.upload
+		out.Trailer = x.r.Trailer
+	}
+	ctx := a.ctx
+	if !a.hedged {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: x.inform})
+	}
+	return out.WithContext(ctx)
+}
+
+// inform passes an informational answer on. 100 is not passed: the server sends
+// it when the upstream's makes the transport read the body.
+func (x *exchange) inform(code int, h textproto.MIMEHeader) error {
+	if code == http.StatusContinue {
+		return nil
+	}
+	x.head.Lock()
+	defer x.head.Unlock()
+	if x.started || x.claim != nil {
+		return nil
+	}
+	to := x.w.Header()
+	pass(to, http.Header(h), said)
+	x.w.WriteHeader(code)
+	clear(to)
+	return nil
+}
+
+// finish ends the attempt: nil if the answer was read to its end.
+func (a *attempt) finish(err error) {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	now := time.Now()
+	if a.link != nil {
+		if err == nil || a.drained(err) {
+			a.link.Done()
+		} else {
+			a.link.Close()
+		}
+	}
+	a.cancel()
+	if a.unreserve != nil {
+		a.unreserve()
+	}
+	a.ticket.Release(now)
+	a.observe(now, err)
+}
+
+// drained reads a refusal to its end, so that its connection can be used again.
+func (a *attempt) drained(err error) bool {
+	if classifier.Of(err) != classifier.Shed {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxDrain+1))
+	return err == nil && n <= maxDrain
+}
+
+func (a *attempt) observe(now time.Time, err error) {
+	x := a.x
+	if !a.hedged && x.f.options.Recorder != nil {
+		x.attempts = append(x.attempts, Attempt{a.up.Name(), a.start, now.Sub(a.start), err})
+	}
+	sight := Answered
+	if err != nil {
+		why := a.cause.Load()
+		if why != nil && *why == errLost || a.ctx.Err() == context.Canceled && why == nil && x.r.Context().Err() != nil {
+			return // nothing was learned about the upstream
+		}
+		var ok bool
+		if sight, ok = sightOf(err); !ok {
+			return
+		}
+	}
+	o := x.f.options.Observer
+	if a.resp != nil && (a.resp.Close || a.resp.Header["Draining"] != nil) {
+		o.Observe(now, a.up, Leaving, 0)
+	}
+	o.Observe(now, a.up, sight, now.Sub(a.start))
+}
+
+func sightOf(err error) (Sight, bool) {
+	switch classifier.Of(err) {
+	case classifier.Unreachable:
+		return Refused, true
+	case classifier.Shed:
+		return Shedding, true
+	case classifier.TimedOut:
+		return Slow, true
+	case classifier.Crossed:
+		return Misplaced, true
+	case classifier.Failed, classifier.Truncated:
+		return Broken, true
+	default:
+		return 0, false
+	}
+}
--- /dev/null
+++ b/internal/request/forwarder/exchange.go
@@ -0,0 +1,253 @@
+package forwarder
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// maxAttempts bounds the attempts of one request, whatever the budget allows.
+const maxAttempts = 4
+
+// errGone means that the caller left; nobody reads an answer.
+var errGone = errors.New("the caller left")
+
+// exchange is one request of a caller with all its attempts.
+type exchange struct {
+	f        *Forwarder
+	w        http.ResponseWriter
+	r        *http.Request
+	ids      [1]string // the Request-Id, as a header value
+	start    time.Time
+	deadline time.Time
+	plan     *planner.Plan
+	service  *planner.Service
+	customer *planner.Customer
+	class    planner.Class
+	name     string
+	path     string // decoded, for routes
+	raw      string // as sent, if that differs from the usual encoding
+	key      string
+	upload   *upload
+	whole    []byte // the request body, if it was read before the first attempt
+	buffered bool   // whole is used
+	claim    Claim
+
+	failed, shed []*planner.Upstream
+	attempts     []Attempt
+	sent         bool  // a request of class once may have reached an upstream
+	doubt        error // of an earlier attempt that may have run
+	resumed      int
+	replayed     bool
+	status       int
+	bytes        int64
+	extra        sync.WaitGroup // hedges under way
+
+	head    sync.Mutex // guards the answer's header against informational answers
+	started bool       // the answer's header is final
+}
+
+// serve runs the request and answers it, unless it returns an error.
+func (x *exchange) serve() error {
+	if x.class == planner.Once && x.key != "" {
+		return x.serveKeyed()
+	}
+	for n := 1; ; n++ {
+		a, err := x.fetch()
+		if err != nil {
+			return err
+		}
+		// A broken answer of which the caller saw nothing is like none.
+		if err = x.deliver(a); err == nil || x.started || n == maxAttempts || !x.again(a, err) {
+			return err
+		}
+		x.failed = append(x.failed, a.up)
+	}
+}
+
+// fetch makes attempts until one has an answer.
+func (x *exchange) fetch() (*attempt, error) {
+	for n := 1; ; n++ {
+		a, err := x.admit()
+		if err != nil {
+			return nil, x.verdict(err)
+		}
+		if a, err = x.try(a); err == nil {
+			return a, nil
+		}
+		if n == maxAttempts || !x.again(a, err) {
+			return nil, x.verdict(err)
+		}
+	}
+}
+
+// verdict returns what the caller is told. A refusal must not say "not run"
+// after an attempt that may have run.
+func (x *exchange) verdict(err error) error {
+	if x.doubt != nil && classifier.Of(err).Outcome() == classifier.NotRun {
+		return x.doubt
+	}
+	return err
+}
+
+// again reports whether another attempt may follow the failed one.
+func (x *exchange) again(a *attempt, err error) bool {
+	kind := classifier.Of(err)
+	if kind.Outcome() != classifier.NotRun {
+		x.doubt = err
+	}
+	if x.sent || x.gone() || !time.Now().Before(x.deadline) {
+		return false
+	}
+	if x.class == planner.Once && kind != classifier.Unreachable {
+		return false
+	}
+	if kind == classifier.Expired || kind == classifier.Internal || kind == classifier.BadRequest {
+		return false
+	}
+	if x.upload != nil && !x.buffered && x.upload.touched.Load() {
+		return false // a part of the body is gone
+	}
+	return x.allowed(a)
+}
+
+// allowed takes a retry from the budget, once for each attempt.
+func (x *exchange) allowed(a *attempt) bool {
+	if a.paid.Load() {
+		return true
+	}
+	_, ok := x.f.options.Budget.Retry(time.Now(), x.service)
+	return ok
+}
+
+// repeatable reports whether the request may be sent a second time while the
+// first may have run.
+func (x *exchange) repeatable() bool {
+	return x.class != planner.Once && (x.upload == nil || x.buffered)
+}
+
+// gone reports whether nobody waits for the answer. A request with a claim is
+// carried to its end all the same, so that a repeat finds the answer.
+func (x *exchange) gone() bool { return x.claim == nil && x.r.Context().Err() != nil }
+
+// context returns the parent of the contexts of all attempts.
+func (x *exchange) context() context.Context {
+	if x.claim != nil {
+		return context.WithoutCancel(x.r.Context())
+	}
+	return x.r.Context()
+}
+
+// admit chooses an upstream and takes a unit for it, and waits for one if it
+// has to.
+func (x *exchange) admit() (*attempt, error) {
+	o := &x.f.options
+	for {
+		now := time.Now()
+		if !now.Before(x.deadline) {
+			return nil, classifier.Expired.New("the deadline passed before dispatch")
+		}
+		a, err := x.admitNow(now)
+		if a != nil {
+			return a, nil
+		}
+		if err != nil && classifier.Of(err) != classifier.Overloaded {
+			return nil, err
+		}
+		if err := o.Gate.Wait(x.context(), x.service, x.class, x.deadline); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// admitNow returns nil without an error if no unit is free.
+func (x *exchange) admitNow(now time.Time) (*attempt, error) {
+	o := &x.f.options
+	up, err := o.Chooser.Choose(now, &Query{
+		Plan: x.plan, Service: x.service, Class: x.class, Customer: x.customer,
+		ID: x.ids[0], Deadline: x.deadline, Failed: x.failed, Shed: x.shed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ticket, ok := o.Gate.Try(now, up, x.class, x.deadline)
+	if !ok {
+		return nil, nil
+	}
+	a := &attempt{x: x, up: up, ticket: ticket, start: now, path: x.route(up)}
+	if rate := x.service.Minimum(); a.path != nil && x.class == planner.Download && rate > 0 {
+		if a.unreserve, ok = o.Pacer.Reserve(a.path, rate); !ok {
+			ticket.Release(now)
+			return nil, nil
+		}
+	}
+	return a, nil
+}
+
+// route returns the link that the answer of an upstream uses, or nil.
+func (x *exchange) route(up *planner.Upstream) *planner.Link {
+	own := x.plan.Region(x.f.options.Region)
+	if own == nil {
+		return nil
+	}
+	return x.plan.Link(up.Region().Index(), own.Index())
+}
+
+// end answers an error, records the request, and breaks the caller's stream if
+// it cannot be completed.
+func (x *exchange) end(err error) {
+	if x.upload != nil {
+		x.upload.stop()
+	}
+	x.extra.Wait()
+	gone := x.r.Context().Err() != nil
+	x.head.Lock()
+	started := x.started
+	x.started = true
+	x.head.Unlock()
+	if err != nil && !started && !gone {
+		x.status = classifier.Of(err).Status()
+		delay := time.Second
+		if x.service != nil {
+			delay = x.f.options.Gate.Delay(x.service, x.class)
+		}
+		refuse(x.w, x.ids[0], err, delay)
+	}
+	x.record(err)
+	if err != nil && (started || gone) {
+		x.abort()
+	}
+}
+
+func (x *exchange) record(err error) {
+	rec := x.f.options.Recorder
+	if rec == nil {
+		return
+	}
+	t := Trace{
+		ID: x.ids[0], Service: x.service, Class: x.class, Start: x.start, Took: time.Since(x.start),
+		Status: x.status, Bytes: x.bytes, Replayed: x.replayed, Resumed: x.resumed, Attempts: x.attempts, Err: err,
+	}
+	if x.customer != nil {
+		t.Customer = x.customer.Name()
+	}
+	rec.Record(&t)
+}
+
+// fingerprint identifies what the caller asks for under its key.
+func (x *exchange) fingerprint() (sum [sha256.Size]byte) {
+	h := sha256.New()
+	for _, s := range []string{x.r.Method, x.r.URL.EscapedPath(), x.r.URL.RawQuery, x.r.Header.Get("Content-Type")} {
+		h.Write([]byte(s))
+		h.Write([]byte{0})
+	}
+	h.Write(x.whole)
+	h.Sum(sum[:0])
+	return sum
+}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -1,119 +1,144 @@
 // Package forwarder carries one request from a caller to an upstream and its
 // answer back.
+//
+// A Forwarder asks small interfaces for decisions: which upstream, whether a
+// unit is free, whether a retry is allowed, whether a key was used before. It
+// owns the rules that no decision may break. A request of class once is sent at
+// most one time, a refusal says "not run" only if that is certain, and an answer
+// reaches the caller whole or visibly broken.
 package forwarder
 
 import (
-	"context"
-	"encoding/json"
-	"io"
+	"cmp"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
+	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
-	"dandeliontrack.example/dandeliontrack/internal/request/router"
-	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
 // Prefix starts the path of every forwarded request; the service name follows.
 const Prefix = "/s/"
 
+const (
+	defaultName = "dandeliontrack"
+	defaultBody = 8 << 20
+)
+
+// Options configure a Forwarder. Chooser is needed; what is left out of the
+// rest has no effect, except that without Claims requests with an idempotency
+// key are refused.
+type Options struct {
+	Name     string // of the host, in Via
+	Region   string // of the host, to find the links that answers use
+	Body     int64  // bound on request bodies and on stored answers, in bytes
+	Chooser  Chooser
+	Gate     Gate
+	Budget   Budget
+	Observer Observer
+	Pacer    Pacer
+	Claims   Claims
+	Recorder Recorder // may be nil
+}
+
 // Forwarder is an http.Handler for requests below Prefix.
 type Forwarder struct {
-	holder    *holder.Holder
-	router    *router.Router
-	transport http.RoundTripper
+	holder     *holder.Holder
+	pool       *pool.Pool
+	options    Options
+	via1, via2 string
 }
 
 // New returns a Forwarder that reads the plan in force from the holder.
-func New(h *holder.Holder, r *router.Router) *Forwarder {
-	return &Forwarder{holder: h, router: r, transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
+func New(h *holder.Holder, p *pool.Pool, o Options) *Forwarder {
+	o.Name = cmp.Or(o.Name, defaultName)
+	o.Body = cmp.Or(o.Body, defaultBody)
+	fallback(&o.Gate, Gate(open{}))
+	fallback(&o.Budget, Budget(open{}))
+	fallback(&o.Observer, Observer(open{}))
+	fallback(&o.Pacer, Pacer(open{}))
+	fallback(&o.Claims, Claims(open{}))
+	return &Forwarder{holder: h, pool: p, options: o, via1: "1.1 " + o.Name, via2: "2.0 " + o.Name}
+}
+
+func fallback[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
 }
 
 // ServeHTTP forwards one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
-	if id == "" {
-		id = uuid.NewString()
-	}
-	if err := f.forward(w, r, id); err != nil {
-		Refuse(w, id, err)
+	x := &exchange{f: f, w: w, r: r, start: time.Now()}
+	err := x.prepare()
+	if err == nil {
+		err = x.serve()
 	}
+	x.end(err)
 }
 
-func (f *Forwarder) forward(w http.ResponseWriter, r *http.Request, id string) error {
-	plan := f.holder.Plan()
-	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, Prefix), "/")
-	s := plan.Service(name)
-	if s == nil {
-		return classifier.Unknown.New("service %q is not defined", name)
-	}
-	up, err := f.router.Choose(s)
+// prepare reads what the request says about itself.
+func (x *exchange) prepare() error {
+	f, r := x.f, x.r
+	id, err := token(r.Header, "Request-Id")
+	x.ids[0] = cmp.Or(id, newID())
 	if err != nil {
+		x.ids[0] = newID()
 		return err
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), s.Timeout())
-	defer cancel()
-	resp, err := f.send(ctx, r, up, "/"+path, id)
-	if err != nil {
+	if err := f.checkCaller(r); err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	head := w.Header()
-	for k, v := range resp.Header {
-		head[k] = v
+	x.plan = f.holder.Plan()
+	if !x.split() {
+		return classifier.Unknown.New("service %q is not defined", x.name)
 	}
-	head.Set("Request-Id", id)
-	head.Set("Outcome", classifier.Ran.String())
-	head.Set("Config-Version", strconv.FormatUint(plan.Version(), 10))
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		// The status line is out, so only a broken stream can tell the caller.
-		panic(http.ErrAbortHandler)
+	most, err := timeout(r.Header, x.service.Timeout())
+	if err != nil {
+		return err
 	}
-	return nil
-}
-
-func (f *Forwarder) send(ctx context.Context, r *http.Request, up *planner.Upstream, path, id string) (*http.Response, error) {
-	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+up.Address()+path, r.Body)
+	x.deadline = x.start.Add(most)
+	customer, err := token(r.Header, "Customer")
 	if err != nil {
-		return nil, classifier.BadRequest.Wrap(err, "request")
+		return err
 	}
-	out.URL.RawQuery = r.URL.RawQuery
-	out.ContentLength = r.ContentLength
-	out.Header.Set("Request-Id", id)
-	if deadline, ok := ctx.Deadline(); ok {
-		out.Header.Set("Request-Timeout", time.Until(deadline).String())
+	if x.key, err = token(r.Header, "Idempotency-Key"); err != nil {
+		return err
 	}
-	resp, err := f.transport.RoundTrip(out)
-	if err != nil {
-		return nil, classifier.Failed.Wrap(err, up.Name())
+	x.customer = x.plan.Customer(customer)
+	x.class = x.service.ClassOf(r.Method, x.path)
+	if r.Body != nil && r.Body != http.NoBody {
+		x.upload = newUpload(x.w, r, f.options.Body)
 	}
-	return resp, nil
-}
-
-type refusal struct {
-	Kind    string `json:"kind"`
-	Message string `json:"message"`
-	Outcome string `json:"outcome"`
-	Request string `json:"request"`
+	f.options.Budget.Count(x.start, x.service)
+	return nil
 }
 
-// Refuse answers a request with the kind of the error.
-func Refuse(w http.ResponseWriter, id string, err error) {
-	kind := classifier.Of(err)
-	head := w.Header()
-	head.Set("Content-Type", "application/json")
-	head.Set("Request-Id", id)
-	head.Set("Outcome", kind.Outcome().String())
-	if kind.Retry() {
-		head.Set("Retry-After", "1")
+// split finds the service and the path for the upstream, which keeps its
+// percent-encoding.
+func (x *exchange) split() bool {
+	u := x.r.URL
+	rest := strings.TrimPrefix(u.Path, Prefix)
+	name, path, _ := strings.Cut(rest, "/")
+	x.name = name
+	x.service = x.plan.Service(name)
+	// The names of services need no encoding, so the prefix has the same length
+	// in the encoded path.
+	head := len(u.Path) - len(path)
+	x.path = path
+	if path == "" || u.Path[head-1] != '/' {
+		x.path = "/"
+	} else {
+		x.path = u.Path[head-1:]
+	}
+	if raw := u.RawPath; raw != "" {
+		if len(raw) < head || raw[:head] != u.Path[:head] {
+			return false
+		}
+		x.raw = raw[head-1:]
 	}
-	w.WriteHeader(kind.Status())
-	// An error here means that the caller is gone.
-	_ = json.NewEncoder(w).Encode(refusal{kind.String(), err.Error(), kind.Outcome().String(), id})
+	return x.service != nil
 }
--- /dev/null
+++ b/internal/request/forwarder/headers.go
@@ -0,0 +1,135 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// hop are the headers that belong to one connection only.
+var hop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true,
+	"Upgrade": true, "Http2-Settings": true,
+}
+
+// ours are the request headers that are written anew for the upstream.
+var ours = map[string]bool{"Request-Id": true, "Request-Timeout": true, "Request-Deadline": true, "Forwarded": true, "Via": true}
+
+// said are the answer headers that only a host may write. What an upstream puts
+// there is not passed on.
+var said = map[string]bool{"Request-Id": true, "Outcome": true, "Config-Version": true, "Draining": true, "Via": true}
+
+// listed reports whether the Connection header names the header. Most requests
+// have no such header.
+func listed(connection []string, name string) bool {
+	return len(connection) > 0 && httpguts.HeaderValuesContainsToken(connection, name)
+}
+
+// pass copies all headers that may leave the connection, except those of skip.
+// The values are shared.
+func pass(to, from http.Header, skip map[string]bool) {
+	connection := from["Connection"]
+	for name, values := range from {
+		if hop[name] || skip[name] || listed(connection, name) {
+			continue
+		}
+		to[name] = values
+	}
+}
+
+// checkCaller refuses what a host does not forward.
+func (f *Forwarder) checkCaller(r *http.Request) error {
+	if r.Method == http.MethodConnect {
+		return classifier.BadRequest.New("method CONNECT is not forwarded")
+	}
+	if up := r.Header["Upgrade"]; len(up) > 0 && !httpguts.HeaderValuesContainsToken(up, "h2c") {
+		return classifier.BadRequest.New("header Upgrade: connections are not upgraded")
+	}
+	for _, via := range r.Header["Via"] {
+		for element := range strings.SplitSeq(via, ",") {
+			// "1.1 name (comment)"
+			if fields := strings.Fields(element); len(fields) > 1 && fields[1] == f.options.Name {
+				return classifier.BadRequest.New("header Via: the request passed host %s already", f.options.Name)
+			}
+		}
+	}
+	if n := r.ContentLength; n > f.options.Body {
+		return classifier.TooLarge.New("the body has %d bytes, the bound is %d", n, f.options.Body)
+	}
+	return nil
+}
+
+// outgoing returns the headers for the upstream without the deadline.
+func (x *exchange) outgoing() http.Header {
+	in := x.r.Header
+	h := make(http.Header, len(in)+6)
+	pass(h, in, ours)
+	if httpguts.HeaderValuesContainsToken(in["Te"], "trailers") {
+		h["Te"] = trailers
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = none // or the library writes its own
+	}
+	h["Request-Id"] = x.ids[:]
+	h["Via"] = extend(in["Via"], x.f.via(x.r.ProtoMajor))
+	h["Forwarded"] = extend(in["Forwarded"], forwarded(x.r))
+	return h
+}
+
+var (
+	trailers = []string{"trailers"}
+	none     = []string{""}
+)
+
+// extend returns a copy with one more element.
+func extend(values []string, v string) []string {
+	out := make([]string, len(values)+1)
+	copy(out, values)
+	out[len(values)] = v
+	return out
+}
+
+func (f *Forwarder) via(major int) string {
+	if major == 2 {
+		return f.via2
+	}
+	return f.via1
+}
+
+// forwarded returns the element of this hop (RFC 7239).
+func forwarded(r *http.Request) string {
+	var buf [128]byte
+	b := append(buf[:0], "for="...)
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	switch {
+	case err != nil:
+		b = append(b, "unknown"...)
+	case strings.Contains(host, ":"):
+		b = append(append(append(b, `"[`...), host...), `]"`...)
+	default:
+		b = append(b, host...)
+	}
+	if r.Host != "" && !strings.ContainsAny(r.Host, "\"\\") {
+		b = append(append(append(b, `;host="`...), r.Host...), '"')
+	}
+	b = append(b, ";proto="...)
+	if r.TLS != nil {
+		return string(append(b, "https"...))
+	}
+	return string(append(b, "http"...))
+}
+
+// setDeadline tells the upstream until when an answer is of use.
+func setDeadline(h http.Header, now, deadline time.Time) {
+	left := max(deadline.Sub(now).Milliseconds(), 1)
+	values := []string{strconv.FormatInt(left, 10) + "ms", strconv.FormatInt(deadline.UnixMilli(), 10)}
+	h["Request-Timeout"] = values[:1:1]
+	h["Request-Deadline"] = values[1:]
+}
--- /dev/null
+++ b/internal/request/forwarder/interfaces.go
@@ -0,0 +1,216 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/request/router"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// Query is what a Chooser is asked. It must not be kept.
+type Query struct {
+	Plan     *planner.Plan
+	Service  *planner.Service
+	Class    planner.Class
+	Customer *planner.Customer
+	ID       string
+	Deadline time.Time
+	Failed   []*planner.Upstream // tried by this request without an answer
+	Shed     []*planner.Upstream // refused this request; they and their regions get no retry
+}
+
+// Chooser chooses the upstream for one attempt. An error of kind Overloaded
+// means that waiting may help.
+type Chooser interface {
+	Choose(now time.Time, q *Query) (*planner.Upstream, error)
+}
+
+// Ticket is the right to run one request at an upstream.
+type Ticket interface {
+	Release(now time.Time)
+}
+
+// Gate admits attempts. A Ticket is valid up to the deadline it was asked for.
+type Gate interface {
+	Try(now time.Time, u *planner.Upstream, class planner.Class, deadline time.Time) (Ticket, bool)
+	// Wait returns nil when it is worth choosing again, or an error of kind
+	// Overloaded, Expired, Shifting or Stopping.
+	Wait(ctx context.Context, s *planner.Service, class planner.Class, deadline time.Time) error
+	// Delay returns after what time a refused caller should try again.
+	Delay(s *planner.Service, class planner.Class) time.Duration
+}
+
+// Budget limits what a service sends more than once.
+type Budget interface {
+	// Count is called once for each request.
+	Count(now time.Time, s *planner.Service)
+	// Retry takes one retry or hedge from the budget, or says why it may not.
+	Retry(now time.Time, s *planner.Service) (reason string, ok bool)
+	// Hedge returns the time after which a look-up is sent a second time, or 0.
+	Hedge(s *planner.Service) time.Duration
+}
+
+// Sight is what an attempt showed of its upstream.
+type Sight uint8
+
+// The sights.
+const (
+	Answered  Sight = iota // a complete header arrived; the duration is its latency
+	Broken                 // the connection failed or the answer was cut off
+	Slow                   // no answer before the deadline
+	Refused                // no connection could be opened
+	Shedding               // the upstream refused before running
+	Leaving                // the upstream says that it is about to stop
+	Misplaced              // the answer belonged to another request
+)
+
+// Observer is told what attempts showed of the upstreams.
+type Observer interface {
+	Observe(now time.Time, u *planner.Upstream, s Sight, latency time.Duration)
+}
+
+// Pacer limits the bytes on a link between regions.
+type Pacer interface {
+	// Reader reads no faster than the link allows.
+	Reader(ctx context.Context, l *planner.Link, class planner.Class, r io.Reader) io.Reader
+	// Reserve sets aside a rate in bytes per second until release is called.
+	Reserve(l *planner.Link, rate int64) (release func(), ok bool)
+}
+
+// Claim is the right to run the request of an idempotency key.
+type Claim interface {
+	ID() string
+}
+
+// Stored is the stored answer of a request with an idempotency key. It is
+// complete.
+type Stored struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Claims keeps the claims on idempotency keys.
+type Claims interface {
+	// Begin returns a claim of this request's own, or the answer of an earlier
+	// run. The kinds of its errors are InDoubt, KeyReused, StoreDown,
+	// Overloaded and Expired. With an error this request must not run.
+	Begin(ctx context.Context, s *planner.Service, customer, key string, fingerprint [32]byte) (Claim, *Stored, error)
+	// Finish stores the answer.
+	Finish(ctx context.Context, c Claim, a *Stored) error
+	// Void gives the claim up. It is called only if the request provably did
+	// not run and never will.
+	Void(ctx context.Context, c Claim)
+}
+
+// Attempt is one line of a Trace.
+type Attempt struct {
+	Upstream string
+	Start    time.Time
+	Took     time.Duration
+	Err      error
+}
+
+// Trace describes a finished request.
+type Trace struct {
+	ID       string
+	Service  *planner.Service // nil if unknown
+	Class    planner.Class
+	Customer string
+	Start    time.Time
+	Took     time.Duration
+	Status   int   // as the caller got it, 0 if the caller left before
+	Bytes    int64 // of the answer's body
+	Replayed bool  // a stored answer
+	Resumed  int
+	Attempts []Attempt
+	Err      error // nil for an answer that is complete
+}
+
+// Recorder receives each finished request. It must not keep the Trace.
+type Recorder interface {
+	Record(t *Trace)
+}
+
+// Simple makes a Chooser of the router that knows only the operator's shares.
+func Simple(r *router.Router) Chooser { return simple{r} }
+
+type simple struct{ router *router.Router }
+
+// Choose implements Chooser. It draws again when it meets an upstream that this
+// request tried already.
+func (c simple) Choose(_ time.Time, q *Query) (u *planner.Upstream, err error) {
+	const draws = 8
+	for range draws {
+		if u, err = c.router.Choose(q.Service); err != nil || !q.tried(u) {
+			return u, err
+		}
+	}
+	return u, nil
+}
+
+func (q *Query) tried(u *planner.Upstream) bool {
+	for _, list := range [...][]*planner.Upstream{q.Failed, q.Shed} {
+		for _, t := range list {
+			if t.Name() == u.Name() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// open is a Gate without limits, a Budget without retries, and the rest of the
+// interfaces without effect.
+type open struct{}
+
+// Release implements Ticket.
+func (open) Release(time.Time) {}
+
+// Try implements Gate.
+func (open) Try(time.Time, *planner.Upstream, planner.Class, time.Time) (Ticket, bool) {
+	return open{}, true
+}
+
+// Wait implements Gate.
+func (open) Wait(_ context.Context, s *planner.Service, _ planner.Class, _ time.Time) error {
+	return classifier.Overloaded.New("service %q: no upstream is free", s.Name())
+}
+
+// Delay implements Gate.
+func (open) Delay(*planner.Service, planner.Class) time.Duration { return time.Second }
+
+// Count implements Budget.
+func (open) Count(time.Time, *planner.Service) {}
+
+// Retry implements Budget.
+func (open) Retry(time.Time, *planner.Service) (string, bool) { return "no retry budget", false }
+
+// Hedge implements Budget.
+func (open) Hedge(*planner.Service) time.Duration { return 0 }
+
+// Observe implements Observer.
+func (open) Observe(time.Time, *planner.Upstream, Sight, time.Duration) {}
+
+// Reader implements Pacer.
+func (open) Reader(_ context.Context, _ *planner.Link, _ planner.Class, r io.Reader) io.Reader {
+	return r
+}
+
+// Reserve implements Pacer.
+func (open) Reserve(*planner.Link, int64) (func(), bool) { return func() {}, true }
+
+// Begin implements Claims. Without a store no claim can be made.
+func (open) Begin(context.Context, *planner.Service, string, string, [32]byte) (Claim, *Stored, error) {
+	return nil, nil, classifier.StoreDown.New("this host has no store for idempotency keys")
+}
+
+// Finish implements Claims.
+func (open) Finish(context.Context, Claim, *Stored) error { return nil }
+
+// Void implements Claims.
+func (open) Void(context.Context, Claim) {}
--- /dev/null
+++ b/internal/request/resumer/resumer.go
@@ -0,0 +1,163 @@
+// Package resumer decides whether a truncated download can go on at another
+// upstream, and whether what that upstream sends is the exact continuation.
+//
+//	d := resumer.New(req, resp)
+//	d.Add(n) // after each part
+//	if d.Possible() {
+//		d.Ask(header)
+//		err := d.Check(next)
+//	}
+package resumer
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// Resumer follows one download. The zero Resumer can never be resumed.
+type Resumer struct {
+	etag     string
+	encoding string
+	first    int64 // of the range that the caller gets
+	last     int64 // -1 if unknown
+	total    int64 // of the representation, -1 if unknown
+	got      int64
+}
+
+// New returns a Resumer for the answer to a request. It is possible to resume
+// the answer to a GET with a strong ETag and either the whole representation or
+// one range of it.
+func New(req *http.Request, resp *http.Response) Resumer {
+	var zero Resumer
+	if req.Method != http.MethodGet {
+		return zero
+	}
+	etag := resp.Header.Get("Etag")
+	if !strong(etag) {
+		return zero
+	}
+	d := Resumer{etag: etag, encoding: resp.Header.Get("Content-Encoding"), last: -1, total: -1}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if resp.ContentLength >= 0 {
+			d.last, d.total = resp.ContentLength-1, resp.ContentLength
+		}
+		return d
+	case http.StatusPartialContent:
+		var ok bool
+		d.first, d.last, d.total, ok = Range(resp.Header)
+		if !ok || resp.ContentLength >= 0 && resp.ContentLength != d.last-d.first+1 {
+			return zero
+		}
+		return d
+	}
+	return zero
+}
+
+// strong reports whether the entity tag is strong and well-formed.
+func strong(etag string) bool {
+	return len(etag) > 2 && etag[0] == '"' && strings.IndexByte(etag[1:], '"') == len(etag)-2
+}
+
+// Add notes n more bytes that the caller got.
+func (d *Resumer) Add(n int) { d.got += int64(n) }
+
+// Possible reports whether the rest may be asked for elsewhere.
+func (d *Resumer) Possible() bool {
+	return d.etag != "" && (d.last < 0 || d.first+d.got <= d.last)
+}
+
+// Ask changes the headers of the first request into a request for the rest.
+func (d *Resumer) Ask(h http.Header) {
+	last := ""
+	if d.last >= 0 {
+		last = strconv.FormatInt(d.last, 10)
+	}
+	h["Range"] = []string{"bytes=" + strconv.FormatInt(d.first+d.got, 10) + "-" + last}
+	h["If-Range"] = []string{d.etag}
+	// The entity tag decides alone; another condition could turn the answer
+	// into one without a body.
+	for _, name := range [...]string{"If-Match", "If-None-Match", "If-Modified-Since", "If-Unmodified-Since"} {
+		delete(h, name)
+	}
+}
+
+// Check reports whether the answer is the rest of the download and nothing
+// else. The error is of kind Truncated.
+func (d *Resumer) Check(resp *http.Response) error {
+	if resp.StatusCode != http.StatusPartialContent {
+		return classifier.Truncated.New("the rest was refused with status %d", resp.StatusCode)
+	}
+	if etag := resp.Header.Get("Etag"); etag != d.etag {
+		return classifier.Truncated.New("the rest has ETag %s, the start had %s", etag, d.etag)
+	}
+	if e := resp.Header.Get("Content-Encoding"); e != d.encoding {
+		return classifier.Truncated.New("the rest has Content-Encoding %q, the start had %q", e, d.encoding)
+	}
+	first, last, total, ok := Range(resp.Header)
+	start := d.first + d.got
+	switch {
+	case !ok:
+		return classifier.Truncated.New("the rest has no usable Content-Range")
+	case first != start || d.last >= 0 && last != d.last || d.total >= 0 && total != d.total:
+		return classifier.Truncated.New("the rest has Content-Range %d-%d/%d, wanted %d-%d/%d", first, last, total, start, d.last, d.total)
+	case d.last < 0 && (total < 0 || last != total-1):
+		return classifier.Truncated.New("the rest does not say that it reaches the end")
+	case resp.ContentLength >= 0 && resp.ContentLength != last-first+1:
+		return classifier.Truncated.New("the rest has Content-Length %d for a range of %d bytes", resp.ContentLength, last-first+1)
+	}
+	d.last, d.total = last, total
+	return nil
+}
+
+// Left returns how many bytes are missing, or -1 if that is not known.
+func (d *Resumer) Left() int64 {
+	if d.etag == "" || d.last < 0 {
+		return -1
+	}
+	return d.last - d.first + 1 - d.got
+}
+
+// Range parses the Content-Range of an answer with one range in bytes. total is
+// -1 if it is not given.
+func Range(h http.Header) (first, last, total int64, ok bool) {
+	values := h["Content-Range"]
+	if len(values) != 1 {
+		return 0, 0, 0, false
+	}
+	spec, found := strings.CutPrefix(values[0], "bytes ")
+	span, size, slash := strings.Cut(spec, "/")
+	from, to, dash := strings.Cut(span, "-")
+	if !found || !slash || !dash {
+		return 0, 0, 0, false
+	}
+	first, ok1 := number(from)
+	last, ok2 := number(to)
+	total, ok3 := int64(-1), true
+	if size != "*" {
+		total, ok3 = number(size)
+	}
+	if !ok1 || !ok2 || !ok3 || first > last || total >= 0 && last >= total {
+		return 0, 0, 0, false
+	}
+	return first, last, total, true
+}
+
+// number parses digits only; strconv would also take a sign.
+func number(s string) (int64, bool) {
+	const longest = 18 // no overflow, also not of sums
+	if s == "" || len(s) > longest {
+		return 0, false
+	}
+	var n int64
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return 0, false
+		}
+		n = n*10 + int64(s[i]-'0')
+	}
+	return n, true
+}
--- /dev/null
+++ b/internal/request/resumer/resumer_test.go
@@ -0,0 +1,95 @@
+package resumer_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/request/resumer"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+func answer(status int, length int64, h ...string) *http.Response {
+	resp := &http.Response{StatusCode: status, ContentLength: length, Header: http.Header{}}
+	for i := 0; i < len(h); i += 2 {
+		resp.Header.Set(h[i], h[i+1])
+	}
+	return resp
+}
+
+// Guards against a download that goes on with bytes of something else.
+func TestCheck(t *testing.T) {
+	const tag, span = `"v1"`, "bytes 40-99/100"
+	cases := map[string]struct {
+		first, rest *http.Response
+		possible    bool
+		ok          bool
+	}{
+		"exact":          {answer(200, 100, "Etag", tag), answer(206, 60, "Etag", tag, "Content-Range", span), true, true},
+		"chunked":        {answer(200, -1, "Etag", tag), answer(206, -1, "Etag", tag, "Content-Range", span), true, true},
+		"of a range":     {answer(206, 60, "Etag", tag, "Content-Range", "bytes 10-69/100"), answer(206, 20, "Etag", tag, "Content-Range", "bytes 50-69/100"), true, true},
+		"weak":           {answer(200, 100, "Etag", `W/"v1"`), answer(206, 60, "Etag", `W/"v1"`, "Content-Range", span), false, false},
+		"no tag":         {answer(200, 100), answer(206, 60, "Content-Range", span), false, false},
+		"changed tag":    {answer(200, 100, "Etag", tag), answer(206, 60, "Etag", `"v2"`, "Content-Range", span), true, false},
+		"tag missing":    {answer(200, 100, "Etag", tag), answer(206, 60, "Content-Range", span), true, false},
+		"whole again":    {answer(200, 100, "Etag", tag), answer(200, 100, "Etag", tag), true, false},
+		"starts late":    {answer(200, 100, "Etag", tag), answer(206, 59, "Etag", tag, "Content-Range", "bytes 41-99/100"), true, false},
+		"starts early":   {answer(200, 100, "Etag", tag), answer(206, 61, "Etag", tag, "Content-Range", "bytes 39-99/100"), true, false},
+		"ends early":     {answer(200, 100, "Etag", tag), answer(206, 59, "Etag", tag, "Content-Range", "bytes 40-98/100"), true, false},
+		"other total":    {answer(200, 100, "Etag", tag), answer(206, 60, "Etag", tag, "Content-Range", "bytes 40-99/101"), true, false},
+		"open end":       {answer(200, -1, "Etag", tag), answer(206, 60, "Etag", tag, "Content-Range", "bytes 40-99/*"), true, false},
+		"other length":   {answer(200, 100, "Etag", tag), answer(206, 61, "Etag", tag, "Content-Range", span), true, false},
+		"other encoding": {answer(200, 100, "Etag", tag), answer(206, 60, "Etag", tag, "Content-Range", span, "Content-Encoding", "gzip"), true, false},
+		"several ranges": {answer(206, 60, "Etag", tag, "Content-Type", "multipart/byteranges"), answer(206, 60), false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := resumer.New(&http.Request{Method: http.MethodGet}, c.first)
+			d.Add(40)
+			assert.Equal(t, d.Possible(), c.possible)
+			if !c.possible {
+				return
+			}
+			err := d.Check(c.rest)
+			assert.Equal(t, err == nil, c.ok, "%v", err)
+			assert.Assert(t, c.ok || classifier.Of(err) == classifier.Truncated)
+		})
+	}
+	post := resumer.New(&http.Request{Method: http.MethodPost}, cases["exact"].first)
+	assert.Assert(t, !post.Possible(), "a POST must not be resumed")
+}
+
+// Guards against a Content-Range that is taken for another one, or that
+// overflows.
+func FuzzRange(f *testing.F) {
+	for _, s := range []string{"bytes 0-0/1", "bytes 5-9/*", "bytes +1-2/3", "bytes 3-2/9", "bytes */9", "bytes 0-9999999999999999999/*", "bytes 1-2/2", "items 0-1/2", ""} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		first, last, total, ok := resumer.Range(http.Header{"Content-Range": {s}})
+		if !ok {
+			return
+		}
+		assert.Assert(t, 0 <= first && first <= last && (total == -1 || last < total))
+		size := "*"
+		if total >= 0 {
+			size = strconv.FormatInt(total, 10)
+		}
+		again := fmt.Sprintf("bytes %d-%d/%s", first, last, size)
+		f2, l2, t2, ok2 := resumer.Range(http.Header{"Content-Range": {again}})
+		assert.Assert(t, ok2 && f2 == first && l2 == last && t2 == total, "%q and %q", s, again)
+	})
+}
+
+func Example() {
+	req := &http.Request{Method: http.MethodGet}
+	d := resumer.New(req, answer(200, 100, "Etag", `"v1"`))
+	d.Add(40)
+	h := http.Header{}
+	d.Ask(h)
+	fmt.Println(d.Possible(), h.Get("Range"), h.Get("If-Range"))
+	// Output: true bytes=40-99 "v1"
+}
