--- /dev/null
+++ b/internal/connection/linker/linker_test.go
@@ -0,0 +1,176 @@
+package linker
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+func writePEM(t *testing.T, path, kind string, der []byte) {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// issue writes a new authority and a certificate for 127.0.0.1 signed by it.
+func issue(t *testing.T) settler.Peer {
+	t.Helper()
+	dir := t.TempDir()
+	p := settler.Peer{
+		Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key"), Authority: filepath.Join(dir, "authority.pem"),
+	}
+	make509 := func(template, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*ecdsa.PrivateKey, []byte) {
+		key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+		assert.NilError(t, err)
+		if signer == nil {
+			signer = key
+		}
+		der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+		assert.NilError(t, err)
+		return key, der
+	}
+	ca := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	caKey, caDER := make509(ca, ca, nil)
+	writePEM(t, p.Authority, "CERTIFICATE", caDER)
+	leaf := &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	key, der := make509(leaf, ca, caKey)
+	writePEM(t, p.Certificate, "CERTIFICATE", der)
+	raw, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	writePEM(t, p.Key, "EC PRIVATE KEY", raw)
+	return p
+}
+
+func host(t *testing.T, p settler.Peer, h Handler) *Linker {
+	t.Helper()
+	l, err := New(p, h)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, l.Close()) })
+	return l
+}
+
+func serve(t *testing.T, l *Linker) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = l.Serve(listener) }()
+	return listener.Addr().String()
+}
+
+func echo(_ context.Context, e *framer.Envelope) (*framer.Envelope, error) {
+	if e.GetFrom() == "" {
+		return nil, classifier.NotReady.New("starting")
+	}
+	return e, nil
+}
+
+// Guards against a host that talks to somebody without a certificate of its
+// authority, in either direction.
+func TestSecurity(t *testing.T) {
+	good, other, plain := issue(t), issue(t), settler.Peer{Plain: true}
+	// bare trusts the authority of the host but shows a certificate of another.
+	bare := settler.Peer{Certificate: other.Certificate, Key: other.Key, Authority: good.Authority}
+	for name, c := range map[string]struct {
+		server, client settler.Peer
+		works          bool
+	}{
+		"same authority":                      {good, good, true},
+		"both plain":                          {plain, plain, true},
+		"wrong authority on both sides":       {good, other, false},
+		"host refuses the caller's authority": {good, bare, false},
+		"plain caller":                        {good, plain, false},
+		"plain host":                          {plain, good, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, host(t, c.server, echo))
+			client := host(t, c.client, echo)
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			defer cancel()
+			reply, err := client.Call(ctx, address, &framer.Envelope{From: "h1"})
+			assert.Equal(t, err == nil, c.works, "%v", err)
+			if c.works {
+				assert.Equal(t, reply.GetFrom(), "h1")
+			}
+		})
+	}
+	t.Run("no certificate", func(t *testing.T) {
+		address := serve(t, host(t, good, echo))
+		client := host(t, good, echo)
+		client.security.certificate.Certificate = nil
+		_, err := client.Call(t.Context(), address, &framer.Envelope{From: "h1"})
+		assert.Assert(t, err != nil)
+	})
+}
+
+// Guards against a session for each call, lost failure kinds and counts that
+// miss messages.
+func TestCallsShareASession(t *testing.T) {
+	server := host(t, settler.Peer{Plain: true}, echo)
+	address := serve(t, server)
+	client := host(t, settler.Peer{Plain: true}, echo)
+	var wg sync.WaitGroup
+	for range 100 {
+		wg.Go(func() {
+			_, err := client.Call(t.Context(), address, &framer.Envelope{From: "h1"})
+			assert.Check(t, err)
+		})
+	}
+	wg.Wait()
+	_, err := client.Call(t.Context(), address, new(framer.Envelope))
+	assert.Equal(t, classifier.Of(err), classifier.NotReady)
+	assert.Equal(t, len(server.sessions), 1)
+	counts := client.PeerCounts()[address]
+	assert.Equal(t, counts, client.Counts())
+	assert.Equal(t, counts.MessagesOut, uint64(101))
+	assert.Assert(t, counts.BytesOut > 101*20)
+}
+
+// Guards against calls that hang on a host that accepts connections and stays
+// silent, and against reuse of that connection afterwards.
+func TestSilentSessionIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	client := host(t, settler.Peer{Plain: true}, echo)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = client.Call(ctx, listener.Addr().String(), new(framer.Envelope))
+	assert.Equal(t, classifier.Of(err), classifier.TimedOut, "%v", err)
+	assert.Assert(t, client.peers[listener.Addr().String()].current() == nil)
+}
+
+// Guards against dialling a dead host on every call.
+func TestDialBacksOff(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	client := host(t, settler.Peer{Plain: true}, echo)
+	address := listener.Addr().String()
+	for range 200 {
+		_, err := client.Call(t.Context(), address, new(framer.Envelope))
+		assert.Equal(t, classifier.Of(err), classifier.Unreachable)
+	}
+	assert.Assert(t, client.peers[address].failures < 100, "%d dials", client.peers[address].failures)
+}
