--- a/internal/version/noter/noter.go
+++ b/internal/version/noter/noter.go
@@ -171,3 +171,14 @@
 
 // Encode returns the canonical form of the note, from which its digest is made.
 func (n *Note) Encode() ([]byte, error) { return json.Marshal(n) }
+
+// Parse reads an accepted note. Unlike Read it passes over unknown fields, which
+// a newer host may have written; the chain then doesn't match and the note is
+// refused with that reason.
+func Parse(raw []byte) (*Note, error) {
+	n := new(Note)
+	if err := json.Unmarshal(raw, n); err != nil {
+		return nil, classifier.Invalid.Wrap(err, "accepted release note")
+	}
+	return n, nil
+}
