--- /dev/null
+++ b/internal/process/snapshotter/snapshotter.go
@@ -0,0 +1,187 @@
+// Package snapshotter writes whole versions of the configuration to the object
+// store and reads them back, so that a host doesn't need the whole history of
+// release notes. It also cuts a version into parts for transfer between hosts.
+package snapshotter
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+const (
+	// Every is the number of versions between two snapshots.
+	Every = 64
+
+	prefix = "snapshot/"
+	kept   = 3
+)
+
+// Store is what a Snapshotter needs of the object store.
+type Store interface {
+	Load(ctx context.Context, key string) ([]byte, error)
+	Save(ctx context.Context, key string, value []byte) error
+	Remove(ctx context.Context, key string) error
+	Objects(ctx context.Context, prefix string) ([]string, error)
+}
+
+// Snapshotter writes and reads snapshots. It is safe for concurrent use.
+type Snapshotter struct {
+	store Store
+}
+
+// New returns a Snapshotter that uses the store.
+func New(store Store) *Snapshotter { return &Snapshotter{store: store} }
+
+// Encode returns the content of a snapshot: the SHA-256 in hex, a line break
+// and the plan.
+func Encode(p *planner.Plan) ([]byte, error) {
+	raw, err := p.Encode()
+	if err != nil {
+		return nil, classifier.Internal.Wrap(err, "encode snapshot")
+	}
+	sum := sha256.Sum256(raw)
+	content := make([]byte, 0, 2*len(sum)+1+len(raw))
+	content = hex.AppendEncode(content, sum[:])
+	content = append(content, '\n')
+	return append(content, raw...), nil
+}
+
+// Decode reads the content of a snapshot. Content that was cut or changed is an
+// error of kind Invalid.
+func Decode(content []byte) (*planner.Plan, error) {
+	head, raw, ok := bytes.Cut(content, []byte{'\n'})
+	if !ok {
+		return nil, classifier.Invalid.New("snapshot of %d bytes has no checksum line", len(content))
+	}
+	sum := sha256.Sum256(raw)
+	if string(head) != hex.EncodeToString(sum[:]) {
+		return nil, classifier.Invalid.New("snapshot of %d bytes doesn't match its checksum", len(content))
+	}
+	return planner.Decode(raw)
+}
+
+// Due reports whether a snapshot of the version is to be written.
+func Due(version uint64) bool { return version > 0 && version%Every == 0 }
+
+// Chosen reports whether the host is the one among the members that writes the
+// snapshot of the version. Hosts that see different members may both be chosen,
+// which costs a write and does no harm.
+func Chosen(version uint64, self string, members []string) bool {
+	rank := func(host string) uint64 { return xxhash.Sum64String(strconv.FormatUint(version, 10) + "/" + host) }
+	mine := rank(self)
+	return !slices.ContainsFunc(members, func(m string) bool { return m != self && rank(m) < mine })
+}
+
+func key(version uint64, chain planner.Chain) string {
+	return fmt.Sprintf("%s%d/%s", prefix, version, hex.EncodeToString(chain[:]))
+}
+
+func parseKey(key string) (version uint64, chain planner.Chain, ok bool) {
+	number, text, found := strings.Cut(strings.TrimPrefix(key, prefix), "/")
+	version, err := strconv.ParseUint(number, 10, 64)
+	raw, hexErr := hex.DecodeString(text)
+	if !found || err != nil || hexErr != nil || len(raw) != len(chain) {
+		return 0, chain, false
+	}
+	return version, planner.Chain(raw), true
+}
+
+// Save writes a snapshot of the plan, reads it back and checks it. Then it
+// removes all but the last three. A copy that reads back damaged is removed and
+// is an error of kind StoreDown; older snapshots stay.
+func (s *Snapshotter) Save(ctx context.Context, p *planner.Plan) error {
+	content, err := Encode(p)
+	if err != nil {
+		return err
+	}
+	k := key(p.Version(), p.Chain())
+	if err := s.store.Save(ctx, k, content); err != nil {
+		return err
+	}
+	back, err := s.store.Load(ctx, k)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(back, content) {
+		err := classifier.StoreDown.New("snapshot of version %d reads back as %d bytes instead of %d", p.Version(), len(back), len(content))
+		if removeErr := s.store.Remove(ctx, k); removeErr != nil {
+			return classifier.StoreDown.Wrap(err, removeErr.Error())
+		}
+		return err
+	}
+	return s.prune(ctx)
+}
+
+type candidate struct {
+	key     string
+	version uint64
+	chain   planner.Chain
+}
+
+// candidates returns the stored snapshots, newest first.
+func (s *Snapshotter) candidates(ctx context.Context) ([]candidate, error) {
+	keys, err := s.store.Objects(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	var list []candidate
+	for _, k := range keys {
+		if version, chain, ok := parseKey(k); ok {
+			list = append(list, candidate{k, version, chain})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.version, a.version) })
+	return list, nil
+}
+
+func (s *Snapshotter) prune(ctx context.Context) error {
+	list, err := s.candidates(ctx)
+	if err != nil {
+		return err
+	}
+	for _, c := range list[min(kept, len(list)):] {
+		if err := s.store.Remove(ctx, c.key); err != nil && classifier.Of(err) != classifier.Unknown {
+			return err
+		}
+	}
+	return nil
+}
+
+// Newest returns the newest undamaged snapshot up to the version, or an error
+// of kind Unknown if there is none. A damaged one is passed over.
+func (s *Snapshotter) Newest(ctx context.Context, version uint64) (*planner.Plan, error) {
+	list, err := s.candidates(ctx)
+	if err != nil {
+		return nil, err
+	}
+	damaged := 0
+	for _, c := range list {
+		if c.version > version {
+			continue
+		}
+		content, err := s.store.Load(ctx, c.key)
+		if classifier.Of(err) == classifier.StoreDown && err != nil {
+			return nil, err
+		}
+		if err == nil {
+			p, err := Decode(content)
+			if err == nil && p.Version() == c.version && p.Chain() == c.chain {
+				return p, nil
+			}
+		}
+		damaged++
+	}
+	return nil, classifier.Unknown.New("no usable snapshot up to version %d; %d are damaged", version, damaged)
+}
--- /dev/null
+++ b/internal/process/snapshotter/snapshotter_test.go
@@ -0,0 +1,151 @@
+package snapshotter
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// objects is an object store in memory. If cut is set, it stores half of every
+// object.
+type objects struct {
+	m   map[string][]byte
+	cut bool
+}
+
+func (o *objects) Load(_ context.Context, k string) ([]byte, error) {
+	if v, ok := o.m[k]; ok {
+		return v, nil
+	}
+	return nil, classifier.Unknown.New("%s", k)
+}
+
+func (o *objects) Save(_ context.Context, k string, v []byte) error {
+	if o.cut {
+		v = v[:len(v)/2]
+	}
+	o.m[k] = slices.Clone(v)
+	return nil
+}
+
+func (o *objects) Remove(_ context.Context, k string) error {
+	delete(o.m, k)
+	return nil
+}
+
+func (o *objects) Objects(_ context.Context, prefix string) ([]string, error) {
+	var keys []string
+	for k := range o.m {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	return keys, nil
+}
+
+// versions returns plans 1 to n, each with one more customer.
+func versions(tb testing.TB, n int) []*planner.Plan {
+	tb.Helper()
+	p, list := new(planner.Plan), []*planner.Plan(nil)
+	for i := range n {
+		c := noter.Customer{Name: fmt.Sprint("c", i), Hold: "stay"}
+		next, err := p.Apply(&noter.Note{ID: c.Name, Base: p.Version(), Added: noter.Items{Customers: []noter.Customer{c}}})
+		assert.NilError(tb, err)
+		p, list = next, append(list, next)
+	}
+	return list
+}
+
+// Guards against a damaged snapshot that is used, and against one that replaces
+// the last good ones.
+func TestDamagedSnapshotIsPassedOver(t *testing.T) {
+	store := &objects{m: make(map[string][]byte)}
+	s := New(store)
+	plans := versions(t, 6)
+	for _, p := range plans[:5] {
+		assert.NilError(t, s.Save(t.Context(), p))
+	}
+	assert.Equal(t, len(store.m), kept)
+	store.cut = true
+	assert.Equal(t, classifier.Of(s.Save(t.Context(), plans[5])), classifier.StoreDown)
+	assert.Equal(t, len(store.m), kept)
+	last := store.m[key(5, plans[4].Chain())]
+	last[len(last)-3] ^= 1
+	p, err := s.Newest(t.Context(), 9)
+	assert.NilError(t, err)
+	assert.Equal(t, p.Chain(), plans[3].Chain())
+	_, err = s.Newest(t.Context(), 2)
+	assert.Equal(t, classifier.Of(err), classifier.Unknown)
+}
+
+// Guards against all hosts or no host writing a snapshot.
+func TestOneHostIsChosen(t *testing.T) {
+	members := []string{"a", "b", "c", "d"}
+	for version := uint64(Every); version < 20*Every; version += Every {
+		chosen := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return !Chosen(version, m, members) })
+		assert.Equal(t, len(chosen), 1)
+	}
+}
+
+// large returns a version with the number of client blocks.
+func large(tb testing.TB, blocks int) *planner.Plan {
+	tb.Helper()
+	n := &noter.Note{ID: "large", Added: noter.Items{
+		Regions: []noter.Region{{Name: "r", Zones: []string{"z"}, Slots: 1}},
+		Sites:   []noter.Site{{Name: "s", Zone: "z"}},
+	}}
+	for i := range blocks {
+		prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 32)
+		n.Added.Blocks = append(n.Added.Blocks, noter.Block{Prefix: prefix, Site: "s"})
+	}
+	p, err := new(planner.Plan).Apply(n)
+	assert.NilError(tb, err)
+	return p
+}
+
+// Guards against a transfer that mixes two versions, accepts a changed part or
+// never ends.
+func TestTransferInParts(t *testing.T) {
+	p := large(t, 60_000)
+	var c Cutter
+	var a Assembler
+	fetch := func(change bool) (*planner.Plan, error) {
+		for range 100 {
+			part, err := c.Part(p, a.Version(), a.Offset())
+			assert.NilError(t, err)
+			if change && part.Offset > 0 {
+				part.Part = slices.Clone(part.Part)
+				part.Part[7] ^= 1
+			}
+			if got, err := a.Add(part); got != nil || err != nil {
+				return got, err
+			}
+		}
+		return nil, nil
+	}
+	got, err := fetch(false)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Chain(), p.Chain())
+	assert.Assert(t, len(c.content) > maxPart, "%d bytes", len(c.content))
+	_, err = fetch(true)
+	assert.Equal(t, classifier.Of(err), classifier.Invalid)
+	first, err := c.Part(p, 0, 0)
+	assert.NilError(t, err)
+	_, err = a.Add(first)
+	assert.NilError(t, err)
+	other, err := c.Part(large(t, 10), 99, a.Offset())
+	assert.NilError(t, err)
+	assert.Equal(t, other.Offset, uint64(0), "another version starts anew")
+	got, err = a.Add(other)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Version(), uint64(1))
+}
