--- /dev/null
+++ b/internal/process/publisher/touched.go
@@ -0,0 +1,50 @@
+package publisher
+
+import (
+	"fmt"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+)
+
+// maxNamed bounds the items that an error names.
+const maxNamed = 20
+
+// touched returns what the note adds, changes or withdraws, such as
+// "service \"catalog\"".
+func touched(n *noter.Note) map[string]bool {
+	items := make(map[string]bool)
+	add := func(item, name string) { items[fmt.Sprintf("%s %q", item, name)] = true }
+	for _, list := range []*noter.Items{&n.Added, &n.Changed} {
+		for _, v := range list.Regions {
+			add("region", v.Name)
+		}
+		for _, v := range list.Links {
+			add("link", v.Name())
+		}
+		for _, v := range list.Services {
+			add("service", v.Name)
+		}
+		for _, v := range list.Upstreams {
+			add("upstream", v.Name)
+		}
+		for _, v := range list.Customers {
+			add("customer", v.Name)
+		}
+		for _, v := range list.Sites {
+			add("site", v.Name)
+		}
+		for _, v := range list.Blocks {
+			add("block", v.Prefix.String())
+		}
+	}
+	for item, names := range map[string][]string{
+		"region": n.Withdrawn.Regions, "link": n.Withdrawn.Links, "service": n.Withdrawn.Services,
+		"upstream": n.Withdrawn.Upstreams, "customer": n.Withdrawn.Customers, "site": n.Withdrawn.Sites,
+		"block": n.Withdrawn.Blocks,
+	} {
+		for _, name := range names {
+			add(item, name)
+		}
+	}
+	return items
+}
