Spread versions among hosts

A pure state machine sends digests, pushes small new notes and pulls missing ones; a driver keeps the time. Reads of the store stay below 20 per second for any number of hosts, also while it is down. 40 seeds of random partitions, outages and restarts never go to a lower version and agree in the end (go test ./internal/process/spreader).

--- a/internal/process/publisher/publisher_test.go
+++ b/internal/process/publisher/publisher_test.go
@@ -93,63 +93,58 @@
 	return ids
 }
 
+// fault decides what happens to the request with the number n, which do makes.
 type fault = func(n int, do func() (*http.Response, error)) (*http.Response, error)
 
-// faults returns the ways in which the request with the number fails. rival
-// publishes another note through another host.
-func faults(step int, rival func()) map[string]fault {
-	at := func(f func(do func() (*http.Response, error)) (*http.Response, error)) fault {
-		return func(n int, do func() (*http.Response, error)) (*http.Response, error) {
-			if n != step {
-				return do()
-			}
-			return f(do)
-		}
+// lose makes the request and loses its answer.
+func lose(do func() (*http.Response, error)) (*http.Response, error) {
+	if resp, err := do(); err == nil {
+		resp.Body.Close()
 	}
-	dead := func(effect bool) fault {
-		return func(n int, do func() (*http.Response, error)) (*http.Response, error) {
-			if n < step {
-				return do()
-			}
-			if n == step && effect {
-				if resp, err := do(); err == nil {
-					resp.Body.Close()
-				}
-			}
-			return nil, errLost
+	return nil, errLost
+}
+
+// from returns a fault that applies first to the request with the number and
+// later to those after it.
+func from(step int, first, later func(do func() (*http.Response, error)) (*http.Response, error)) fault {
+	return func(n int, do func() (*http.Response, error)) (*http.Response, error) {
+		switch {
+		case n == step:
+			return first(do)
+		case n > step && later != nil:
+			return later(do)
+		default:
+			return do()
 		}
 	}
+}
+
+// faults returns the ways in which the request with the number fails. rival
+// publishes another note through another host.
+func faults(step int, rival func()) map[string]fault {
+	fail := func(func() (*http.Response, error)) (*http.Response, error) { return nil, errLost }
 	return map[string]fault{
-		"fails once": at(func(func() (*http.Response, error)) (*http.Response, error) { return nil, errLost }),
-		"answer lost": at(func(do func() (*http.Response, error)) (*http.Response, error) {
-			if resp, err := do(); err == nil {
-				resp.Body.Close()
-			}
-			return nil, errLost
-		}),
-		"down for good, or the host dies before": dead(false),
-		"the host dies after":                    dead(true),
-		"rival before": at(func(do func() (*http.Response, error)) (*http.Response, error) {
+		"fails once":                             from(step, fail, nil),
+		"answer lost":                            from(step, lose, nil),
+		"down for good, or the host dies before": from(step, fail, fail),
+		"the host dies after":                    from(step, lose, fail),
+		"rival before": from(step, func(do func() (*http.Response, error)) (*http.Response, error) {
 			rival()
 			return do()
-		}),
-		"rival after, answer lost": at(func(do func() (*http.Response, error)) (*http.Response, error) {
-			if resp, err := do(); err == nil {
-				resp.Body.Close()
-			}
+		}, nil),
+		"rival after, answer lost": from(step, func(do func() (*http.Response, error)) (*http.Response, error) {
+			_, err := lose(do)
 			rival()
-			return nil, errLost
-		}),
-		"slow, takes effect after the timeout": at(func(do func() (*http.Response, error)) (*http.Response, error) {
+			return nil, err
+		}, nil),
+		"slow, takes effect after the timeout": from(step, func(do func() (*http.Response, error)) (*http.Response, error) {
 			go func() {
 				time.Sleep(20 * time.Second)
-				if resp, err := do(); err == nil {
-					resp.Body.Close()
-				}
+				_, _ = lose(do)
 			}()
 			time.Sleep(storeTimeout)
 			return nil, errLost
-		}),
+		}, nil),
 	}
 }
 
--- /dev/null
+++ b/internal/process/spreader/spreader.go
@@ -0,0 +1,330 @@
+// Package spreader brings accepted versions to all hosts. Hosts tell their
+// neighbours which version is in force, push new notes and pull missing ones;
+// the store is read rarely and only to find what the neighbours don't know.
+package spreader
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/holder"
+	"dandeliontrack.example/dandeliontrack/internal/process/snapshotter"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+)
+
+const (
+	digestPeriod = time.Second
+	// fanout bounds the digests of a host per period, so its traffic doesn't
+	// grow with the number of its neighbours.
+	fanout = 3
+	// collectTime is how long a new host without the store listens to all its
+	// neighbours before it takes a version from one of them.
+	collectTime = 2 * time.Second
+	// badTime is how long a host isn't asked for notes after a damaged answer.
+	badTime = 2 * time.Second
+	// viewTime is how long the last word of a neighbour is believed.
+	viewTime = 10 * time.Second
+	// maxBusy bounds the exchanges in flight with one neighbour.
+	maxBusy = 2
+	// maxPush bounds the notes that are sent before it is known that the
+	// neighbour lacks them.
+	maxPush = 32 << 10
+
+	minPoll = 5 * time.Second
+	maxWait = time.Minute
+	// pollRate is how many reads per second of the head all hosts together
+	// make. The limit is 20; the rest is left to the notes that a read finds.
+	pollRate = 16
+)
+
+// Action is something that the driver does for the Spreader: an exchange with a
+// neighbour, or a read of the store if Poll is set.
+type Action struct {
+	To      string
+	Request *framer.Envelope
+	Poll    bool
+}
+
+// view is what a neighbour last said.
+type view struct {
+	version uint64
+	chain   planner.Chain
+	heard   time.Time
+	bad     time.Time // not asked for notes until then
+	busy    int
+	spoke   bool // answered since the start
+}
+
+// Spreader decides what a host sends and asks for. It uses no clock, socket or
+// goroutine, and is not safe for concurrent use.
+type Spreader struct {
+	holder     *holder.Holder
+	rng        *rand.Rand
+	neighbours []string
+	members    int
+	views      map[string]*view
+
+	started    time.Time
+	collecting bool
+	announced  uint64
+	nextDigest time.Time
+	rotation   int
+
+	pulling   bool
+	full      bool
+	nextPull  time.Time
+	staged    *planner.Plan // newer than the plan in force, older than the highest seen
+	entries   []holder.Entry
+	assembler snapshotter.Assembler
+	cutter    snapshotter.Cutter
+
+	polling  bool
+	confirm  bool // a read of the store succeeded
+	failures int
+	nextPoll time.Time
+	soon     bool // nextPoll was moved forward
+}
+
+// New returns the Spreader of a host that starts now.
+func New(h *holder.Holder, rng *rand.Rand, now time.Time) *Spreader {
+	return &Spreader{
+		holder: h, rng: rng, views: make(map[string]*view), members: 1,
+		started: now, collecting: true, nextDigest: now, nextPoll: now,
+	}
+}
+
+// SetPeers replaces the addresses of the neighbours and the number of members.
+func (s *Spreader) SetPeers(neighbours []string, members int) {
+	s.neighbours = slices.Clone(neighbours)
+	s.members = max(1, members)
+	for address := range s.views {
+		if !slices.Contains(neighbours, address) {
+			delete(s.views, address)
+		}
+	}
+	for _, address := range neighbours {
+		if s.views[address] == nil {
+			s.views[address] = new(view)
+		}
+	}
+}
+
+// Ready reports whether the host has a version that it may serve: read from the
+// store, or the highest of its neighbours.
+func (s *Spreader) Ready() bool {
+	return s.confirm || (!s.collecting && s.holder.Plan().Version() > 0)
+}
+
+// Period returns the time between two reads of the store by this host.
+func (s *Spreader) Period() time.Duration {
+	return max(minPoll, time.Duration(s.members)*time.Second/pollRate)
+}
+
+// Next returns when Tick is due again.
+func (s *Spreader) Next() time.Time {
+	next := s.nextDigest
+	if !s.pulling && !s.nextPull.IsZero() && s.nextPull.Before(next) {
+		next = s.nextPull
+	}
+	if !s.polling && s.nextPoll.Before(next) {
+		next = s.nextPoll
+	}
+	return next
+}
+
+// Tick returns the actions that are due.
+func (s *Spreader) Tick(now time.Time) []Action {
+	actions := s.announce(now)
+	if !now.Before(s.nextDigest) {
+		// Periods missed in a pause are not made up.
+		s.nextDigest = s.nextDigest.Add(digestPeriod)
+		if !s.nextDigest.After(now) {
+			s.nextDigest = now.Add(digestPeriod)
+		}
+		actions = append(actions, s.digests()...)
+	}
+	s.endCollecting(now)
+	actions = append(actions, s.chase(now)...)
+	if !s.polling && !now.Before(s.nextPoll) {
+		s.polling = true
+		actions = append(actions, Action{Poll: true})
+	}
+	return actions
+}
+
+func (s *Spreader) endCollecting(now time.Time) {
+	if !s.collecting {
+		return
+	}
+	spoke := 0
+	for _, v := range s.views {
+		if v.spoke {
+			spoke++
+		}
+	}
+	late := now.Sub(s.started) >= collectTime
+	switch {
+	case spoke > 0 && (late || spoke == len(s.neighbours)):
+		s.collecting = false
+	case late:
+		// Nobody answers: the next answers are waited for in the same way.
+		s.started = now
+	}
+}
+
+func (s *Spreader) digest() *framer.Envelope {
+	p := s.holder.Plan()
+	chain := p.Chain()
+	return &framer.Envelope{Body: &framer.Envelope_Digest{Digest: &framer.Digest{Version: p.Version(), Chain: chain[:]}}}
+}
+
+// send returns the action, or none if enough exchanges with the neighbour are
+// in flight.
+func (s *Spreader) send(to string, e *framer.Envelope) []Action {
+	v := s.views[to]
+	if v == nil || v.busy >= maxBusy {
+		return nil
+	}
+	v.busy++
+	return []Action{{To: to, Request: e}}
+}
+
+// digests sends one to the next few neighbours, or to all while the host is
+// new.
+func (s *Spreader) digests() []Action {
+	count := min(fanout, len(s.neighbours))
+	if s.collecting {
+		count = len(s.neighbours)
+	}
+	var actions []Action
+	for range count {
+		s.rotation = (s.rotation + 1) % len(s.neighbours)
+		actions = append(actions, s.send(s.neighbours[s.rotation], s.digest())...)
+	}
+	return actions
+}
+
+// announce sends a version that was installed since the last call to all
+// neighbours: its notes where they are small and the neighbour's version is
+// known, the digest otherwise.
+func (s *Spreader) announce(now time.Time) []Action {
+	p := s.holder.Plan()
+	if p.Version() <= s.announced {
+		return nil
+	}
+	s.announced = p.Version()
+	var actions []Action
+	for _, address := range s.neighbours {
+		v := s.views[address]
+		if v.version >= p.Version() {
+			continue
+		}
+		e := s.digest()
+		if list, ok := s.holder.After(v.version, v.chain, maxPush); ok && now.Sub(v.heard) < viewTime && size(list) <= maxPush {
+			e = notes(list)
+		}
+		actions = append(actions, s.send(address, e)...)
+	}
+	return actions
+}
+
+func size(list []holder.Entry) int {
+	total := 0
+	for _, e := range list {
+		total += len(e.Note)
+	}
+	return total
+}
+
+// chase asks the neighbour with the highest version for what is missing here.
+func (s *Spreader) chase(now time.Time) []Action {
+	have := s.base().Version()
+	if s.pulling || s.collecting || now.Before(s.nextPull) {
+		return nil
+	}
+	s.nextPull = time.Time{}
+	var best []string
+	highest := have
+	for _, address := range s.neighbours {
+		v := s.views[address]
+		if v.version <= have || v.version < highest || now.Before(v.bad) || now.Sub(v.heard) > viewTime || v.busy >= maxBusy {
+			continue
+		}
+		if v.version > highest {
+			best = best[:0]
+		}
+		highest = v.version
+		best = append(best, address)
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	s.pulling = true
+	return s.send(best[s.rng.IntN(len(best))], s.pull())
+}
+
+// base returns the newest version that is verified here, in force or staged.
+func (s *Spreader) base() *planner.Plan {
+	p := s.holder.Plan()
+	if s.staged != nil && s.staged.Version() > p.Version() {
+		return s.staged
+	}
+	s.staged, s.entries = nil, nil
+	return p
+}
+
+func (s *Spreader) pull() *framer.Envelope {
+	p := s.base()
+	chain := p.Chain()
+	return &framer.Envelope{Body: &framer.Envelope_Pull{Pull: &framer.Pull{
+		Version: p.Version(), Chain: chain[:], Full: s.full,
+		Snapshot: s.assembler.Version(), Offset: s.assembler.Offset(),
+	}}}
+}
+
+// Polled takes the outcome of a read of the store.
+func (s *Spreader) Polled(now time.Time, err error) {
+	s.polling, s.soon = false, false
+	period := s.Period()
+	if err == nil {
+		s.confirm, s.collecting, s.failures, s.full = true, false, 0, false
+		s.nextPoll = now.Add(period*4/5 + s.random(period*2/5))
+		return
+	}
+	// The mean wait is never below the period, so a store that is down gets no
+	// more reads than one that works. Full jitter spreads the reads after it
+	// has recovered.
+	s.failures++
+	span := min(maxWait, period<<min(s.failures, 8))
+	s.nextPoll = now.Add(s.random(max(span, 2*period)))
+}
+
+func (s *Spreader) random(span time.Duration) time.Duration {
+	return time.Duration(s.rng.Int64N(int64(span) + 1))
+}
+
+// pollSoon asks for a read of the store within one period, because the
+// neighbours can't repair what is missing here.
+func (s *Spreader) pollSoon(now time.Time) {
+	if s.soon || s.failures > 0 {
+		return
+	}
+	s.soon = true
+	if at := now.Add(s.random(s.Period())); at.Before(s.nextPoll) {
+		s.nextPoll = at
+	}
+}
+
+// hear notes what a neighbour says about itself.
+func (s *Spreader) hear(now time.Time, v *view, d *framer.Digest) {
+	s.holder.Observe(d.GetVersion())
+	v.version, v.heard, v.spoke = d.GetVersion(), now, true
+	copy(v.chain[:], d.GetChain())
+	p := s.holder.Plan()
+	if chain := p.Chain(); d.GetVersion() == p.Version() && !bytes.Equal(chain[:], d.GetChain()) {
+		s.pollSoon(now)
+	}
+}
--- /dev/null
+++ b/internal/process/spreader/spreader_test.go
@@ -0,0 +1,194 @@
+package spreader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
+	"dandeliontrack.example/dandeliontrack/internal/process/holder"
+	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// Guards against a version that goes down on any host, and against hosts that
+// stay apart after partitions, store outages, restarts and damaged answers.
+func TestRandomSchedulesConverge(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newWorld(t, seed, 9)
+			w.corrupt = 0.2
+			for range 30 {
+				w.run(time.Duration(w.rng.Int64N(int64(3 * time.Second))))
+				name := w.names[w.rng.IntN(len(w.names))]
+				switch w.rng.IntN(6) {
+				case 0, 1, 2:
+					w.publish(name)
+				case 3:
+					w.side[name] = w.rng.IntN(3)
+				case 4:
+					w.store.SetDown(w.rng.IntN(2) == 0)
+				case 5:
+					w.nodes[name].start()
+				}
+			}
+			clear(w.side)
+			down := w.rng.IntN(2) == 0
+			w.store.SetDown(down)
+			w.run(2 * time.Minute)
+			highest := uint64(0)
+			for _, n := range w.nodes {
+				highest = max(highest, n.h.Highest())
+			}
+			version, ok := w.agree()
+			// Without the store a version is out of reach if all its holders
+			// restarted; hosts then wait for it, at the same or older versions.
+			assert.Assert(t, ok && version == highest || down && highest > version, "version %d of %d, agreed: %v", version, highest, ok)
+			w.store.SetDown(false)
+			w.run(3 * time.Minute)
+			reader := &node{w: w, name: "reader"}
+			reader.start()
+			assert.NilError(t, reader.pub.Refresh(t.Context()))
+			version, ok = w.agree()
+			assert.Assert(t, ok)
+			assert.Equal(t, version, reader.h.Plan().Version())
+		})
+	}
+}
+
+// Guards against a version that reaches all hosts only by reads of the store,
+// and against traffic that grows while nothing changes.
+func TestSpreadWithoutStore(t *testing.T) {
+	w := newWorld(t, 7, 12)
+	w.run(5 * time.Second)
+	assert.Equal(t, w.publish("h03"), uint64(1))
+	w.store.SetDown(true)
+	w.run(time.Second)
+	version, ok := w.agree()
+	assert.Assert(t, ok && version == 1)
+	w.calls = 0
+	w.run(10 * time.Second)
+	first := w.calls
+	w.run(30 * time.Second)
+	assert.Equal(t, w.calls-first, 3*first)
+	assert.Equal(t, first, 10*12*fanout)
+}
+
+// Guards against a new host that starts with an old version, or without any,
+// while the store is down.
+func TestNewHostWithoutStore(t *testing.T) {
+	w := newWorld(t, 11, 8)
+	w.run(5 * time.Second)
+	w.publish("h01")
+	w.run(time.Second)
+	// h02, the first neighbour that answers, stays behind.
+	w.side["h02"] = 1
+	w.publish("h01")
+	w.run(time.Second)
+	w.store.SetDown(true)
+	delete(w.side, "h02")
+	n := w.nodes["h03"]
+	// first returns the version in force when the host is first ready.
+	first := func() uint64 {
+		for range 2500 {
+			if w.run(time.Millisecond); n.s.Ready() {
+				return n.h.Plan().Version()
+			}
+		}
+		return 0
+	}
+	n.start()
+	n.s.collecting = false
+	n.s.SetPeers([]string{"h02"}, 8)
+	assert.Equal(t, first(), uint64(1), "without waiting for all, the first answer counts")
+	n.start()
+	assert.Equal(t, first(), uint64(2))
+
+	w.side["h03"] = 2
+	n.start()
+	w.run(time.Minute)
+	assert.Assert(t, !n.s.Ready(), "neither peers nor the store answer")
+	w.store.SetDown(false)
+	w.run(2 * time.Minute)
+	assert.Assert(t, n.s.Ready())
+	assert.Equal(t, n.h.Plan().Version(), uint64(2))
+}
+
+// Guards against a host far behind that can't catch up because its neighbours
+// no longer keep the notes it needs, and against a fork that stays.
+func TestGapAndForkAreRepairedByPeers(t *testing.T) {
+	for name, fork := range map[string]bool{"gap": false, "fork": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5, 4)
+			w.run(3 * time.Second)
+			w.side["h02"] = 1
+			if fork {
+				other := newWorld(t, 6, 1)
+				other.publish("h00")
+				wrong := other.nodes["h00"].h
+				e, _ := wrong.Entry(1)
+				assert.NilError(t, w.nodes["h02"].h.Install(wrong.Plan(), e))
+			}
+			for range 1010 {
+				w.publish("h01")
+			}
+			w.store.SetDown(true)
+			delete(w.side, "h02")
+			w.run(time.Minute)
+			version, ok := w.agree()
+			assert.Assert(t, ok)
+			assert.Equal(t, version, uint64(1010))
+		})
+	}
+}
+
+// Guards against more reads than 20 per second for a fleet of any size, with
+// the store up, down and after it has recovered.
+func TestStoreReads(t *testing.T) {
+	for _, hosts := range []int{1, 12, 400, 5500} {
+		for name, err := range map[string]error{"up": nil, "down": classifier.StoreDown.New("down")} {
+			t.Run(fmt.Sprint(hosts, " hosts, store ", name), func(t *testing.T) {
+				w := newWorld(t, 3, 0)
+				s := New(new(holder.Holder), w.rng, w.now)
+				s.SetPeers(nil, hosts)
+				reads, span := 0, 2000*s.Period()
+				for end := w.now.Add(span); w.now.Before(end); w.now = s.nextPoll {
+					for _, a := range s.Tick(w.now) {
+						if a.Poll {
+							reads++
+						}
+					}
+					s.Polled(w.now, err)
+				}
+				rate := float64(reads*hosts) / span.Seconds()
+				assert.Assert(t, rate <= 20, "%v reads/s", rate)
+				s.Polled(w.now, nil)
+				assert.Assert(t, s.nextPoll.Sub(w.now) <= s.Period()*6/5)
+			})
+		}
+	}
+}
+
+// Guards against a damaged note that is installed from a peer, and against the
+// same peer being asked for it again at once.
+func TestDamagedNoteIsRefused(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.run(3 * time.Second)
+	w.store.SetDown(true)
+	x, y := w.nodes["h00"], w.nodes["h01"]
+	source := publisher.New(adapter.New("http://p", "http://p", "http://p", time.Second, newWorld(t, 1, 0).store), y.h)
+	_, err := source.Publish(t.Context(), customer("c", 0))
+	assert.NilError(t, err)
+	e, _ := y.h.Entry(1)
+	e.Note = append(e.Note[:len(e.Note):len(e.Note)], ' ')
+	_, err = x.s.Handle(w.now, notes([]holder.Entry{e}))
+	assert.Equal(t, classifier.Of(err), classifier.Invalid)
+	pull := Action{To: "h01", Request: x.s.pull()}
+	x.s.views["h01"].busy, x.s.views["h01"].version, x.s.pulling = 1, 1, true
+	assert.Equal(t, len(x.s.Answered(w.now, pull, notes([]holder.Entry{e}), nil)), 0)
+	assert.Equal(t, x.h.Plan().Version(), uint64(0))
+	w.run(5 * time.Second)
+	assert.Equal(t, x.h.Plan().Version(), uint64(1))
+}
