--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -106,6 +106,7 @@
 	last    time.Time
 
 	timed       map[string]*member // those with a deadline
+	news        []*framer.Member   // changes that Drain has not returned yet
 	fullAt      time.Time
 	reconnectAt time.Time
 	retried     int
@@ -136,9 +137,27 @@
 // SetVersion changes the configuration version that the host reports.
 func (d *Detector) SetVersion(v uint64) { d.self.Version = v }
 
+// SetReady changes whether the host reports that it takes new work. The
+// incarnation rises, so that the change replaces what others know.
+func (d *Detector) SetReady(ready bool) {
+	if d.self.Ready != ready {
+		d.self.Ready = ready
+		d.self.Incarnation++
+	}
+}
+
+// Drain returns copies of the members whose state or readiness changed since
+// the last call, in order.
+func (d *Detector) Drain() []*framer.Member {
+	news := d.news
+	d.news = nil
+	return news
+}
+
 // Leave makes the host report that it stops on purpose.
 func (d *Detector) Leave() {
 	d.self.State = uint32(Left)
+	d.self.Ready = false
 	d.self.Incarnation++
 }
 
@@ -283,6 +302,7 @@
 
 func (d *Detector) changed(m *member, now time.Time) {
 	m.sent = 0
+	d.news = append(d.news, proto.CloneOf(m.Member))
 	d.timed[m.Name] = m
 	switch m.state() {
 	case Suspect:
--- a/internal/version/noter/noter.go
+++ b/internal/version/noter/noter.go
@@ -34,10 +34,11 @@
 	Customers []Customer `json:"customers,omitempty"`
 	Sites     []Site     `json:"sites,omitempty"`
 	Blocks    []Block    `json:"blocks,omitempty"`
+	Drains    []Drain    `json:"drains,omitempty"`
 }
 
 // Names lists what is withdrawn. A link is named "from/to", a block by its
-// prefix.
+// prefix, a drain "kind/name".
 type Names struct {
 	Regions   []string `json:"regions,omitempty"`
 	Links     []string `json:"links,omitempty"`
@@ -46,6 +47,7 @@
 	Customers []string `json:"customers,omitempty"`
 	Sites     []string `json:"sites,omitempty"`
 	Blocks    []string `json:"blocks,omitempty"`
+	Drains    []string `json:"drains,omitempty"`
 }
 
 // Region is a place with availability zones. Slots bounds the requests in
@@ -127,6 +129,18 @@
 	Site   string       `json:"site"`
 }
 
+// Drain takes a host, an upstream or a region out of new work for as long as it
+// is defined. Kind is "host", "upstream" or "region". Gone states that the
+// machine of a host does not exist any more, which frees its shares.
+type Drain struct {
+	Kind string `json:"kind"`
+	Item string `json:"item"`
+	Gone bool   `json:"gone,omitempty"`
+}
+
+// Name returns the name by which a drain is withdrawn.
+func (d Drain) Name() string { return d.Kind + "/" + d.Item }
+
 // Duration is a time.Duration that is written as text, such as "1500ms".
 type Duration time.Duration
 
--- a/internal/version/planner/check.go
+++ b/internal/version/planner/check.go
@@ -36,7 +36,7 @@
 // check reports the first item whose content is wrong or refers to something
 // that is not defined.
 func (s *source) check() error {
-	for _, f := range []func() error{s.checkRegions, s.checkLinks, s.checkServices, s.checkUpstreams, s.checkPlaces, s.checkCustomers, s.checkSites} {
+	for _, f := range []func() error{s.checkRegions, s.checkLinks, s.checkServices, s.checkUpstreams, s.checkPlaces, s.checkCustomers, s.checkSites, s.checkDrains} {
 		if err := f(); err != nil {
 			return err
 		}
@@ -258,3 +258,28 @@
 	}
 	return nil
 }
+
+// checkDrains checks drains. The names of hosts are not part of the
+// configuration, so those of host drains are not compared with anything.
+func (s *source) checkDrains() error {
+	for _, name := range sorted(s.Drains) {
+		d := s.Drains[name]
+		known := d.Kind == DrainHost
+		switch d.Kind {
+		case DrainUpstream:
+			_, known = s.Upstreams[d.Item]
+		case DrainRegion:
+			_, known = s.Regions[d.Item]
+		case DrainHost:
+		default:
+			return invalid("drain %q: field \"kind\" is %q: use %q, %q or %q", name, d.Kind, DrainHost, DrainUpstream, DrainRegion)
+		}
+		if !known || d.Item == "" {
+			return invalid("drain %q: field \"item\": %s %q is not defined: correct the name or withdraw the drain", name, d.Kind, d.Item)
+		}
+		if d.Gone && d.Kind != DrainHost {
+			return invalid("drain %q: field \"gone\" is for hosts only: remove it", name)
+		}
+	}
+	return nil
+}
--- a/internal/version/planner/planner.go
+++ b/internal/version/planner/planner.go
@@ -121,6 +121,28 @@
 // Locate returns the site of a client, or "" if no block holds its address.
 func (p *Plan) Locate(client netip.Addr) string { return p.blocks.Find(client) }
 
+// The kinds of drain.
+const (
+	DrainHost     = "host"
+	DrainUpstream = "upstream"
+	DrainRegion   = "region"
+)
+
+// Drained reports whether an operator's drain keeps the item out of new work.
+func (p *Plan) Drained(kind, item string) bool {
+	_, ok := p.source.Drains[kind+"/"+item]
+	return ok
+}
+
+// Drains returns all drains, sorted by name.
+func (p *Plan) Drains() []noter.Drain {
+	all := make([]noter.Drain, 0, len(p.source.Drains))
+	for _, name := range sorted(p.source.Drains) {
+		all = append(all, p.source.Drains[name])
+	}
+	return all
+}
+
 // RegionOfZone returns the region that holds the availability zone, or nil.
 func (p *Plan) RegionOfZone(zone string) *Region {
 	for _, r := range p.regions {
@@ -265,6 +287,7 @@
 	offset  int
 	service *Service
 	region  *Region
+	drained bool
 }
 
 // Name returns the upstream's name.
@@ -292,6 +315,10 @@
 // Connections returns how many connections all hosts together may hold open.
 func (u *Upstream) Connections() int { return u.src.Connections }
 
+// Drained reports whether an operator's drain keeps the upstream out of new
+// work.
+func (u *Upstream) Drained() bool { return u.drained }
+
 // Offset returns the share that the upstream's first slot belongs to, before
 // the remainder by the number of shares is taken. It never changes while the
 // upstream exists, so that other upstreams can be withdrawn without moving it.
@@ -364,7 +391,7 @@
 	for i, name := range sorted(s.Upstreams) {
 		u := s.Upstreams[name]
 		svc, r := p.byService[u.Service], p.byRegion[u.Region]
-		c := &Upstream{src: u, index: i, offset: s.Offsets[name], service: svc, region: r}
+		c := &Upstream{src: u, index: i, offset: s.Offsets[name], service: svc, region: r, drained: p.Drained(DrainUpstream, name)}
 		p.upstreams = append(p.upstreams, c)
 		p.byUp[name] = c
 		svc.upstreams = append(svc.upstreams, c)
--- a/internal/version/planner/source.go
+++ b/internal/version/planner/source.go
@@ -19,6 +19,7 @@
 	Upstreams map[string]noter.Upstream `json:"upstreams"`
 	Customers map[string]noter.Customer `json:"customers"`
 	Sites     map[string]noter.Site     `json:"sites"`
+	Drains    map[string]noter.Drain    `json:"drains"`
 	Offsets   map[string]int            `json:"offsets"`
 	Next      map[string]int            `json:"next"`
 }
@@ -38,6 +39,7 @@
 		Upstreams: copyOf(s.Upstreams),
 		Customers: copyOf(s.Customers),
 		Sites:     copyOf(s.Sites),
+		Drains:    copyOf(s.Drains),
 		Offsets:   copyOf(s.Offsets),
 		Next:      copyOf(s.Next),
 	}
@@ -94,6 +96,7 @@
 		merge("upstream", s.Upstreams, func(u noter.Upstream) string { return u.Name }, a.Upstreams, c.Upstreams, w.Upstreams),
 		merge("customer", s.Customers, func(v noter.Customer) string { return v.Name }, a.Customers, c.Customers, w.Customers),
 		merge("site", s.Sites, func(v noter.Site) string { return v.Name }, a.Sites, c.Sites, w.Sites),
+		merge("drain", s.Drains, noter.Drain.Name, a.Drains, c.Drains, w.Drains),
 	}
 	for _, err := range steps {
 		if err != nil {
