--- a/internal/process/allotter/allotter.go
+++ b/internal/process/allotter/allotter.go
@@ -111,17 +111,18 @@
 // Allotter is the state of one host in one ledger row. It is not safe for
 // concurrent use.
 type Allotter struct {
-	self    Identity
-	start   time.Time
-	row     Row
-	rev     string
-	known   bool // row was read from the store by this incarnation
-	stale   bool // a write conflicted or was lost; read before the next one
-	lastly  time.Time
-	sights  map[string]sight
-	gone    map[string]statement
-	leaving bool
-	off     bool // a later incarnation has the entry, or the entry is released
+	expected int
+	self     Identity
+	start    time.Time
+	row      Row
+	rev      string
+	known    bool // row was read from the store by this incarnation
+	stale    bool // a write conflicted or was lost; read before the next one
+	lastly   time.Time
+	sights   map[string]sight
+	gone     map[string]statement
+	leaving  bool
+	off      bool // a later incarnation has the entry, or the entry is released
 
 	until   time.Time // end of the own lease
 	held    Set       // shares in the own entry, less those leaving
@@ -270,6 +271,11 @@
 	return raw, a.rev, now.Sub(s.before), err == nil
 }
 
+// Expect says how many hosts are live. While fewer are in the ledger, this host
+// takes no more than its part of the shares, so that hosts that start together
+// need not wait for each other to give shares up.
+func (a *Allotter) Expect(hosts int) { a.expected = hosts }
+
 // Leave makes the following steps release the entry. Held returns nothing from
 // now on.
 func (a *Allotter) Leave() { a.leaving = true }
--- a/internal/process/allotter/step.go
+++ b/internal/process/allotter/step.go
@@ -99,7 +99,11 @@
 	if a.leaving {
 		return 0
 	}
-	return r.Free().first(r.target(i) - r.Holders[i].Shares.Len())
+	target := r.target(i)
+	if len(r.Holders) < a.expected {
+		target = min(target, S/a.expected)
+	}
+	return r.Free().first(target - r.Holders[i].Shares.Len())
 }
 
 // surplus returns the shares that the i-th holder should be leaving.
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -7,41 +7,110 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/allotter"
+	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
+	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
 	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
+	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/internal/process/shifter"
+	"dandeliontrack.example/dandeliontrack/internal/request/finder"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/api"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
+// Members gives what a host knows of the others.
+type Members interface {
+	Members() []*framer.Member
+}
+
+// Limits describes the limits at this host.
+type Limits interface {
+	Figures() []allotter.Figure
+}
+
+// Parts are what a Controller speaks for.
+type Parts struct {
+	Settings  *settler.Settings
+	Holder    *holder.Holder
+	Publisher *publisher.Publisher
+	Members   Members
+	Finder    *finder.Finder
+	Drainer   *drainer.Drainer
+	Recorder  *recorder.Recorder
+	Limits    []Limits
+	Shifter   *shifter.Shifter
+	Gauger    *gauger.Gauger
+	// Flight returns how many requests of this host run at an upstream.
+	Flight func(*planner.Upstream) int
+	// Store describes whether the store answers.
+	Store func() string
+}
+
 // Controller implements api.Handler.
 type Controller struct {
-	settings  *settler.Settings
-	holder    *holder.Holder
-	publisher *publisher.Publisher
+	Parts
 }
 
 var _ api.Handler = (*Controller)(nil)
 
 // New returns a Controller of one host.
-func New(s *settler.Settings, h *holder.Holder, p *publisher.Publisher) *Controller {
-	return &Controller{settings: s, holder: h, publisher: p}
+func New(p Parts) *Controller { return &Controller{Parts: p} }
+
+type remoteKey struct{}
+
+// WithRemote passes the address of the connection on to Lookup.
+func WithRemote(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ap, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+			r = r.WithContext(context.WithValue(r.Context(), remoteKey{}, ap.Addr()))
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
-// Lookup answers which hosts a caller uses.
-func (c *Controller) Lookup(_ context.Context, params api.LookupParams) (*api.Lookup, error) {
-	plan := c.holder.Plan()
+// Lookup answers which hosts a client uses for a service.
+func (c *Controller) Lookup(ctx context.Context, params api.LookupParams) (*api.Lookup, error) {
+	plan := c.Holder.Plan()
 	if plan.Service(params.Service) == nil {
 		return nil, classifier.Unknown.New("service %q is not defined", params.Service)
 	}
-	return &api.Lookup{
+	client, _ := ctx.Value(remoteKey{}).(netip.Addr)
+	if text, ok := params.Client.Get(); ok {
+		var err error
+		if client, err = netip.ParseAddr(text); err != nil {
+			return nil, classifier.BadRequest.New("client %q is not an IP address", text)
+		}
+	}
+	lookup := &api.Lookup{
 		Service:  params.Service,
 		Version:  int64(plan.Version()),
-		Lifetime: 10,
-		Hosts:    []api.Entry{{Name: c.settings.Name, Address: c.settings.Caller.Listen, Zone: c.settings.Zone}},
-	}, nil
+		Lifetime: int(time.Duration(c.Settings.Stop.Lifetime) / time.Second),
+		Hosts:    make([]api.Entry, 0, finder.Most),
+	}
+	zone, region := c.Settings.Zone, c.Settings.Region
+	if site := plan.Locate(client); site != "" {
+		lookup.Site = api.NewOptString(site)
+		if z, ok := plan.Site(site); ok {
+			zone, region = z, plan.RegionOfZone(z).Name()
+		}
+	}
+	var room [finder.Most]finder.Host
+	for _, h := range c.Finder.Find(room[:0], client, zone, region, time.Now()) {
+		lookup.Hosts = append(lookup.Hosts, api.Entry{Name: h.Name, Address: h.Address, Zone: h.Zone})
+	}
+	if len(lookup.Hosts) == 0 {
+		return nil, classifier.NotReady.New("no host that this one knows takes new work")
+	}
+	return lookup, nil
 }
 
 // Publish accepts a release note.
@@ -54,37 +123,51 @@
 	if err != nil {
 		return nil, err
 	}
-	plan, err := c.publisher.Publish(ctx, n)
+	before := c.Holder.Plan().Version()
+	p, err := c.Publisher.Publish(ctx, n)
 	if err != nil {
 		return nil, err
 	}
-	chain := plan.Chain()
-	return &api.Publication{ID: plan.ID(), Version: int64(plan.Version()), Chain: hex.EncodeToString(chain[:])}, nil
-}
-
-// Status describes the host.
-func (c *Controller) Status(context.Context) (*api.Status, error) {
-	plan := c.holder.Plan()
-	chain := plan.Chain()
-	return &api.Status{
-		Host:    c.settings.Name,
-		Region:  api.NewOptString(c.settings.Region),
-		Zone:    api.NewOptString(c.settings.Zone),
-		State:   api.StatusStateReady,
-		Version: int64(plan.Version()),
-		Chain:   hex.EncodeToString(chain[:]),
-		Members: []api.Member{}, Limits: []api.Limit{}, Shifts: []api.Shift{}, Waiting: []string{},
+	chain := p.Chain()
+	return &api.Publication{
+		ID: p.ID(), Version: int64(p.Version()), Chain: hex.EncodeToString(chain[:]),
+		Repeated: p.Version() <= before,
 	}, nil
 }
 
 // Explain describes a recent request.
 func (c *Controller) Explain(_ context.Context, params api.ExplainParams) (*api.Explanation, error) {
-	return nil, classifier.Unknown.New("request %q is not among the recent requests of this host", params.ID)
+	v, ok := c.Recorder.Find(params.ID)
+	if !ok {
+		return nil, classifier.Unknown.New("request %q is not among the recent requests of host %s: ask the host that served it", params.ID, c.Settings.Name)
+	}
+	e := &api.Explanation{
+		Request: v.ID, Service: v.Service, Class: v.Class.String(), Version: int64(v.Version),
+		Outcome: v.Outcome.String(), Host: api.NewOptString(c.Settings.Name),
+		Customer: api.NewOptString(v.Customer), Elapsed: api.NewOptString(v.Elapsed.String()),
+		Status: api.NewOptInt(v.Status), Tightest: api.NewOptString(v.Tightest),
+		Steps: []api.Step{},
+	}
+	if !v.Done {
+		e.Outcome = "in flight"
+	}
+	if v.Failed {
+		e.Kind = api.NewOptString(v.Kind.String())
+	}
+	for _, s := range v.Steps {
+		e.Steps = append(e.Steps, api.Step{
+			At: s.At().String(), What: s.What().String(), Region: optional(s.Region()),
+			Upstream: optional(s.Upstream()), Reason: optional(s.Reason()),
+		})
+	}
+	return e, nil
 }
 
-// Drain takes something out of new work.
-func (c *Controller) Drain(_ context.Context, req *api.Drain) (*api.Drained, error) {
-	return nil, classifier.Unknown.New("%s %q is not known", req.Kind, req.Name)
+func optional(s string) api.OptString {
+	if s == "" {
+		return api.OptString{}
+	}
+	return api.NewOptString(s)
 }
 
 // NewError turns an error into the answer of its kind.
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -22,6 +22,13 @@
 	VersionAccepted  Event = 201
 	VersionInstalled Event = 202
 	VersionRefused   Event = 203
+	MemberChanged    Event = 301
+	SharesChanged    Event = 401
+	HolderGone       Event = 402
+	LoanTaken        Event = 403
+	UpstreamLeaving  Event = 501
+	ConnectionSilent Event = 502
+	UpstreamDead     Event = 503
 	RequestFailed    Event = 601
 	StoreFailed      Event = 701
 	StoreRecovered   Event = 702
@@ -43,6 +50,13 @@
 	VersionAccepted:  {zerolog.InfoLevel, "version accepted", "A publication through this host won its conditional write."},
 	VersionInstalled: {zerolog.InfoLevel, "version installed", "The version in the field version is in force on this host."},
 	VersionRefused:   {zerolog.WarnLevel, "version refused", "A release note or a copy of a version failed a check."},
+	MemberChanged:    {zerolog.InfoLevel, "member changed", "The state or readiness of another host changed; state, accuser and reason say how and why."},
+	SharesChanged:    {zerolog.InfoLevel, "shares changed", "The host holds the number of shares in the field shares of the ledger's limits."},
+	HolderGone:       {zerolog.WarnLevel, "holder gone", "An operator stated that the holder's machine is gone; its shares become free after 33 s."},
+	LoanTaken:        {zerolog.DebugLevel, "loan taken", "Another host lent units of the limit for at most 30 s."},
+	UpstreamLeaving:  {zerolog.InfoLevel, "upstream leaving", "The upstream gets no new work; the field sign says why."},
+	ConnectionSilent: {zerolog.WarnLevel, "connection silent", "Connections to the address carried nothing while a new one works; they are closed."},
+	UpstreamDead:     {zerolog.WarnLevel, "upstream dead", "The address refused a connection or left a probe on a new one unanswered."},
 	RequestFailed:    {zerolog.WarnLevel, "request failed", "A request was answered with an error kind of ours."},
 	StoreFailed:      {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again."},
 	StoreRecovered:   {zerolog.InfoLevel, "store recovered", "The store answers again after failures."},
--- /dev/null
+++ b/internal/process/runner/bridge.go
@@ -0,0 +1,220 @@
+package runner
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
+	"dandeliontrack.example/dandeliontrack/internal/process/allotter"
+	"dandeliontrack.example/dandeliontrack/internal/process/claimer"
+	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/request/admitter"
+	"dandeliontrack.example/dandeliontrack/internal/request/forwarder"
+	"dandeliontrack.example/dandeliontrack/internal/request/retrier"
+	"dandeliontrack.example/dandeliontrack/internal/request/router"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// shedPause is how long an upstream that shed a request gets no new work.
+const shedPause = time.Second
+
+// bridge makes the decisions of a host available to the forwarder.
+type bridge struct{ p *parts }
+
+// Choose implements forwarder.Chooser.
+func (b bridge) Choose(now time.Time, q *forwarder.Query) (*planner.Upstream, error) {
+	rq := router.Query{
+		Plan: q.Plan, Service: q.Service, Class: q.Class, Customer: q.Customer, Hash: xxhash.Sum64String(q.ID),
+		Late: now.Add(b.p.admitter.Delay(q.Service, q.Class)).After(q.Deadline),
+	}
+	for _, u := range q.Failed {
+		rq.Try(u)
+	}
+	for _, u := range q.Shed {
+		rq.Try(u)
+	}
+	choice, err := b.p.router.Choose(now, &rq)
+	if err != nil {
+		return nil, err
+	}
+	if choice.Upstream() == nil {
+		return nil, classifier.Overloaded.New("no free slot in region %s", choice.Region().Name())
+	}
+	return choice.Upstream(), nil
+}
+
+// ticket is an admitted request. It tells the admitter how long the slot was
+// held.
+type ticket struct {
+	admitter.Ticket
+	admitter *admitter.Admitter
+	service  *planner.Service
+	class    planner.Class
+	start    time.Time
+}
+
+// Release implements forwarder.Ticket.
+func (t *ticket) Release(now time.Time) {
+	t.Ticket.Release()
+	t.admitter.Observe(t.service, t.class, now.Sub(t.start))
+}
+
+// Try implements forwarder.Gate.
+func (b bridge) Try(now time.Time, u *planner.Upstream, class planner.Class, deadline time.Time) (forwarder.Ticket, bool) {
+	t, ok := b.p.admitter.Try(now, u, class, deadline)
+	if !ok {
+		return nil, false
+	}
+	return &ticket{Ticket: t, admitter: b.p.admitter, service: u.Service(), class: class, start: now}, true
+}
+
+// Wait implements forwarder.Gate.
+func (b bridge) Wait(ctx context.Context, s *planner.Service, class planner.Class, deadline time.Time) error {
+	b.p.granter.Need(s)
+	return b.p.admitter.Wait(ctx, s, class, deadline)
+}
+
+// Delay implements forwarder.Gate.
+func (b bridge) Delay(s *planner.Service, class planner.Class) time.Duration {
+	return b.p.admitter.Delay(s, class)
+}
+
+// Count implements forwarder.Budget.
+func (b bridge) Count(now time.Time, s *planner.Service) {
+	b.p.retrier.Request(s, now)
+	b.p.shifter.Count(s)
+}
+
+// Retry implements forwarder.Budget. The forwarder has checked that the attempt
+// may be repeated; what is asked here is the budget.
+func (b bridge) Retry(now time.Time, s *planner.Service) (string, bool) {
+	ok, reason := b.p.retrier.Retry(s, retrier.Attempt{Class: planner.Lookup, Kind: classifier.Unreachable, Number: 1, Deadline: now.Add(time.Hour)}, now)
+	if ok {
+		b.p.meter.Add(meter.Retries, 1)
+	}
+	return reason.String(), ok
+}
+
+// Hedge implements forwarder.Budget.
+func (b bridge) Hedge(s *planner.Service) time.Duration {
+	after, ok := b.p.retrier.HedgeAfter(s, planner.Lookup, time.Now())
+	if !ok {
+		return 0
+	}
+	return after
+}
+
+// Observe implements forwarder.Observer.
+func (b bridge) Observe(now time.Time, u *planner.Upstream, s forwarder.Sight, latency time.Duration) {
+	g := b.p.gauger
+	switch s {
+	case forwarder.Answered:
+		g.OnAnswer(u, false, now)
+		b.p.retrier.OnAnswer(u.Service(), latency, now)
+	case forwarder.Broken, forwarder.Slow:
+		g.OnAnswer(u, true, now)
+	case forwarder.Misplaced:
+		g.OnAnswer(u, true, now)
+		b.p.meter.Add(meter.Crossings, 1)
+	case forwarder.Refused:
+		g.OnRefused(u, now)
+	case forwarder.Shedding:
+		g.OnShed(u, now.Add(shedPause))
+	case forwarder.Leaving:
+		b.p.leaving(u.Name(), gauger.RefusalSign)
+	}
+}
+
+// claims makes the claimer available to the forwarder.
+type claims struct {
+	claimer *claimer.Claimer
+	meter   *meter.Meter
+}
+
+// Begin implements forwarder.Claims.
+func (c claims) Begin(ctx context.Context, s *planner.Service, customer, key string, fingerprint [32]byte) (forwarder.Claim, *forwarder.Stored, error) {
+	claim, answer, err := c.claimer.Begin(ctx, claimer.Key{Service: s.Name(), Customer: customer, Key: key}, hex.EncodeToString(fingerprint[:]))
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case answer != nil:
+		c.meter.Add(meter.Replays, 1)
+		return nil, &forwarder.Stored{Status: answer.Status(), Header: answer.Header(), Body: answer.Body()}, nil
+	default:
+		return claim, nil, nil
+	}
+}
+
+// Finish implements forwarder.Claims.
+func (c claims) Finish(ctx context.Context, claim forwarder.Claim, a *forwarder.Stored) error {
+	own, ok := claim.(*claimer.Claim)
+	if !ok {
+		return classifier.Internal.New("claim of another kind")
+	}
+	return c.claimer.Finish(ctx, own, claimer.NewAnswer(a.Status, a.Header, a.Body))
+}
+
+// Void implements forwarder.Claims.
+func (c claims) Void(ctx context.Context, claim forwarder.Claim) {
+	if own, ok := claim.(*claimer.Claim); ok {
+		c.claimer.Void(ctx, own)
+	}
+}
+
+// slots is where slots are counted, with the connections that go with them.
+type slots struct {
+	*admitter.Admitter
+	pool *pool.Pool
+}
+
+// Install puts the rights in force and bounds the connections to each upstream
+// by the same shares.
+func (s slots) Install(plan *planner.Plan, rights allotter.Rights) {
+	s.Admitter.Install(plan, rights)
+	for _, u := range plan.Upstreams() {
+		shares := rights.Regions[u.Region().Name()].Shares
+		s.pool.Bound(u.Address(), max(int(allotter.Slots(u.Connections(), u.Offset()).In(shares)), minConnections))
+	}
+}
+
+// minConnections lets a host that has only loans of an upstream reach it.
+const minConnections = 2
+
+// linkFigures describes the limits of links and of the store's writes.
+type linkFigures struct{ p *parts }
+
+// Figures implements controller.Limits.
+func (l linkFigures) Figures() []allotter.Figure {
+	out := []allotter.Figure{l.p.granter.Writes()}
+	for _, link := range l.p.holder.Plan().Links() {
+		out = append(out, l.p.pacer.Figure(link))
+	}
+	return out
+}
+
+// connectionEvents receives what the pool finds out.
+type connectionEvents struct{ p *parts }
+
+// Silent implements pool.Events.
+func (e connectionEvents) Silent(address string, n int) {
+	e.p.meter.Add(meter.Silences, int64(n))
+	e.p.log.Event(logger.ConnectionSilent).Str("address", address).Int("connections", n).Send()
+}
+
+// Dead implements pool.Events.
+func (e connectionEvents) Dead(address string, err error) {
+	e.p.log.Event(logger.UpstreamDead).Str("address", address).Err(err).Send()
+	for _, u := range e.p.holder.Plan().Upstreams() {
+		if u.Address() == address {
+			e.p.gauger.OnRefused(u, time.Now())
+		}
+	}
+}
+
--- /dev/null
+++ b/internal/process/runner/parts.go
@@ -0,0 +1,231 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/connection/linker"
+	"dandeliontrack.example/dandeliontrack/internal/connection/pacer"
+	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
+	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
+	"dandeliontrack.example/dandeliontrack/internal/process/allotter"
+	"dandeliontrack.example/dandeliontrack/internal/process/claimer"
+	"dandeliontrack.example/dandeliontrack/internal/process/controller"
+	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
+	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
+	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
+	"dandeliontrack.example/dandeliontrack/internal/process/granter"
+	"dandeliontrack.example/dandeliontrack/internal/process/holder"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/prober"
+	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
+	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
+	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/internal/process/shifter"
+	"dandeliontrack.example/dandeliontrack/internal/process/snapshotter"
+	"dandeliontrack.example/dandeliontrack/internal/process/spreader"
+	"dandeliontrack.example/dandeliontrack/internal/process/weigher"
+	"dandeliontrack.example/dandeliontrack/internal/request/admitter"
+	"dandeliontrack.example/dandeliontrack/internal/request/finder"
+	"dandeliontrack.example/dandeliontrack/internal/request/forwarder"
+	"dandeliontrack.example/dandeliontrack/internal/request/retrier"
+	"dandeliontrack.example/dandeliontrack/internal/request/router"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/api"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// parts are what one host consists of.
+type parts struct {
+	settings *settler.Settings
+	log      logger.Logger
+	store    *adapter.Adapter
+	storeUp  atomic.Bool
+
+	holder      *holder.Holder
+	publisher   *publisher.Publisher
+	snapshotter *snapshotter.Snapshotter
+	spreader    *spreader.Driver
+	linker      *linker.Linker
+	gossiper    *gossiper.Gossiper
+	granter     *granter.Granter
+	claimer     *claimer.Claimer
+	shifter     *shifter.Shifter
+	gauger      *gauger.Gauger
+	weigher     *weigher.Weigher
+	prober      *prober.Prober
+	pool        *pool.Pool
+	pacer       *pacer.Pacer
+	admitter    *admitter.Admitter
+	router      *router.Router
+	retrier     *retrier.Retrier
+	finder      *finder.Finder
+	drainer     *drainer.Drainer
+	recorder    *recorder.Recorder
+	meter       *meter.Meter
+
+	mu     sync.Mutex
+	seen   map[string]sight // first sight of each ready host
+	listed []adapter.Entry  // the platform's list of hosts
+}
+
+// sight is when an incarnation of a host was first seen ready.
+type sight struct {
+	incarnation uint64
+	since       time.Time
+}
+
+func newParts(s *settler.Settings, log logger.Logger, n network) (*parts, error) {
+	now := time.Now()
+	transport := func() *http.Transport {
+		return &http.Transport{DialContext: n.dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	}
+	store := adapter.New(s.Platform.Table, s.Platform.Objects, s.Platform.Hosts, time.Duration(s.Platform.Timeout), transport())
+	p := &parts{
+		settings: s, log: log, store: store,
+		holder: new(holder.Holder), shifter: shifter.New(now), gauger: gauger.New(now),
+		pacer: new(pacer.Pacer), admitter: admitter.New(s.Limits.Queue), retrier: retrier.New(),
+		finder: new(finder.Finder), drainer: drainer.New(), recorder: recorder.New(), meter: meter.New(),
+		snapshotter: snapshotter.New(store), seen: make(map[string]sight),
+	}
+	var err error
+	if p.linker, err = linker.New(s.Peer, p.handle, linker.WithDial(n.dial)); err != nil {
+		return nil, err
+	}
+	p.pool = pool.New(pool.Options{Dial: n.dial, Headers: int64(s.Limits.Headers), Events: connectionEvents{p}})
+	p.publisher = publisher.New(store, p.holder)
+	self := &framer.Member{
+		Name: s.Name, Address: s.Peer.Listen, Caller: s.Caller.Listen, Operator: s.Operator.Listen,
+		Region: s.Region, Zone: s.Zone, Incarnation: uint64(now.UnixNano()),
+	}
+	p.gossiper = gossiper.New(self, p.linker, p.seeds)
+	p.spreader = spreader.NewDriver(s.Name, p.holder, p.gossiper, p.publisher, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	p.publisher.UsePeers(p.spreader)
+	p.publisher.UseSnapshots(p.snapshotter)
+	p.granter = granter.New(granter.Options{
+		Self:  allotter.Identity{Address: s.Peer.Listen, Host: s.Name, Incarnation: self.Incarnation},
+		Store: store, Caller: p.gossiper, Peers: p.peers, Slots: slots{p.admitter, p.pool}, Links: p.pacer, Log: log,
+		OnReady: func() { p.meet(drainer.Shares) },
+	})
+	p.claimer = claimer.New(store, p.granter, s.Name)
+	p.weigher = weigher.New(p.shifter, p.gauger, store, p.gossiper, p.peers)
+	p.prober = prober.New(transport(), p.gauger, p.tellLeaving)
+	p.router = router.New(p.admitter, p.shifter, p.gauger, router.Place{Region: s.Region, Zone: s.Zone})
+	p.holder.OnInstall(p.installed)
+	p.gossiper.OnChange(p.changed)
+	return p, nil
+}
+
+// handlers returns what callers and operators reach.
+func (p *parts) handlers() (callers, operators http.Handler, err error) {
+	server, err := api.NewServer(controller.New(controller.Parts{
+		Settings: p.settings, Holder: p.holder, Publisher: p.publisher, Members: p.gossiper, Finder: p.finder,
+		Drainer: p.drainer, Recorder: p.recorder, Limits: []controller.Limits{p.admitter, linkFigures{p}},
+		Shifter: p.shifter, Gauger: p.gauger, Flight: p.admitter.Flight, Store: p.storeState,
+	}))
+	if err != nil {
+		return nil, nil, classifier.Internal.Wrap(err, "API server")
+	}
+	b := bridge{p}
+	forward := forwarder.New(p.holder, p.pool, forwarder.Options{
+		Name: p.settings.Name, Region: p.settings.Region, Body: p.settings.Limits.Body,
+		Chooser: b, Gate: b, Budget: b, Observer: b, Pacer: p.pacer, Claims: claims{p.claimer, p.meter}, Recorder: b,
+	})
+	front := http.NewServeMux()
+	front.Handle(forwarder.Prefix, p.counted(forward))
+	front.Handle("/v1/lookup/", controller.WithRemote(server))
+	back := http.NewServeMux()
+	back.Handle("/v1/", controller.WithRemote(server))
+	back.Handle("/debug/vars", p.meter)
+	return front, back, nil
+}
+
+// counted lets requests in and out of the host's life cycle.
+func (p *parts) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.meter.Add(meter.Requests, 1)
+		if err := p.drainer.Begin(time.Now()); err != nil {
+			p.meter.Refuse(classifier.Of(err).String())
+			forwarder.Refuse(w, r.Header.Get("Request-Id"), err)
+			return
+		}
+		defer p.drainer.End()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// start runs the parts until ctx ends.
+func (p *parts) start(ctx context.Context, g *errgroup.Group) {
+	plan := p.holder.Plan
+	for _, run := range []func(context.Context){
+		p.gossiper.Run, p.spreader.Run, p.granter.Run, p.claimer.Run, p.watchHosts, p.watchStart,
+		func(ctx context.Context) { p.weigher.Run(ctx, plan) },
+		func(ctx context.Context) { p.prober.Run(ctx, plan) },
+	} {
+		g.Go(func() error {
+			run(ctx)
+			return nil
+		})
+	}
+}
+
+// installed puts a plan in force in all parts.
+func (p *parts) installed(plan *planner.Plan) {
+	now := time.Now()
+	p.gauger.Install(plan, now)
+	p.shifter.Install(plan, now)
+	p.router.Install(plan)
+	p.retrier.Keep(plan)
+	p.granter.Install(plan)
+	p.gossiper.SetVersion(plan.Version())
+	p.meter.Add(meter.Installs, 1)
+	p.refreshHosts()
+	p.log.Event(logger.VersionInstalled).Uint64("version", plan.Version()).Str("id", plan.ID()).Send()
+	if snapshotter.Due(plan.Version()) && snapshotter.Chosen(plan.Version(), p.settings.Name, p.memberNames()) {
+		go p.snapshot(plan)
+	}
+}
+
+func (p *parts) snapshot(plan *planner.Plan) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := p.snapshotter.Save(ctx, plan); err != nil {
+		p.log.Event(logger.StoreFailed).Err(err).Send()
+	}
+}
+
+func (p *parts) meet(c drainer.Condition) {
+	if p.drainer.Meet(c) {
+		p.gossiper.SetReady(true)
+		p.refreshHosts()
+		p.log.Event(logger.HostReady).Send()
+	}
+}
+
+// watchStart tells when the conditions of the start hold.
+func (p *parts) watchStart(ctx context.Context) {
+	poll(ctx, 1<<62, func() bool {
+		if p.spreader.Ready() && p.holder.Plan().Version() > 0 {
+			p.meet(drainer.Plan)
+		}
+		if p.shifter.Ready() {
+			p.meet(drainer.Shift)
+		}
+		return p.drainer.State() != drainer.Starting
+	})
+}
+
+func (p *parts) storeState() string {
+	if p.storeUp.Load() {
+		return "up"
+	}
+	return "down"
+}
--- /dev/null
+++ b/internal/process/runner/peers.go
@@ -0,0 +1,190 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
+	"dandeliontrack.example/dandeliontrack/internal/process/detector"
+	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
+	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/request/finder"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+const (
+	// listPeriod is how often the platform's list of hosts is read.
+	listPeriod  = 10 * time.Second
+	listTimeout = 5 * time.Second
+	tellTimeout = time.Second
+	// meshSize is the largest fleet in which a host talks to all others.
+	meshSize = 16
+)
+
+const stateLeaving = "leaving"
+
+// handle answers an envelope of another host.
+func (p *parts) handle(ctx context.Context, e *framer.Envelope) (*framer.Envelope, error) {
+	p.gossiper.Accept(e)
+	answer, err := p.answer(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	return p.gossiper.Answer(e, answer), nil
+}
+
+func (p *parts) answer(ctx context.Context, e *framer.Envelope) (*framer.Envelope, error) {
+	switch b := e.Body.(type) {
+	case *framer.Envelope_Ping, *framer.Envelope_PingRequest:
+		return p.gossiper.Handle(ctx, e)
+	case *framer.Envelope_Digest, *framer.Envelope_Pull, *framer.Envelope_Notes:
+		return p.spreader.Handle(ctx, e)
+	case *framer.Envelope_Borrow, *framer.Envelope_Return, *framer.Envelope_Ledger:
+		return p.granter.Handle(e)
+	case *framer.Envelope_Shifts:
+		return p.weigher.Handle(e, time.Now())
+	case *framer.Envelope_Leaving:
+		for _, name := range b.Leaving.Upstreams {
+			p.leaving(name, gauger.PeerSign)
+		}
+		return &framer.Envelope{Body: &framer.Envelope_Ack{Ack: new(framer.Ack)}}, nil
+	default:
+		return nil, classifier.BadRequest.New("message of an unknown kind")
+	}
+}
+
+// leaving takes an upstream out of new work, and tells the peers on the first
+// sign.
+func (p *parts) leaving(upstream string, sign gauger.Sign) {
+	if p.gauger.OnLeaving(upstream, sign, time.Now()) {
+		p.log.Event(logger.UpstreamLeaving).Str("upstream", upstream).Stringer("sign", sign).Send()
+		p.tellLeaving(upstream)
+	}
+}
+
+// tellLeaving tells the peers at once. Each of them passes the first sign on,
+// so that it reaches a fleet of any size in a few hops.
+func (p *parts) tellLeaving(upstream string) {
+	for _, address := range p.peers() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+			defer cancel()
+			e := &framer.Envelope{Body: &framer.Envelope_Leaving{Leaving: &framer.Leaving{Upstreams: []string{upstream}}}}
+			// A peer that misses the message sees the health endpoint itself.
+			_, _ = p.gossiper.Call(ctx, address, e)
+		}()
+	}
+}
+
+// peers returns the peer addresses of the live members, or only those of the
+// neighbours in a large fleet.
+func (p *parts) peers() []string {
+	var out []string
+	for _, m := range p.gossiper.Members() {
+		if detector.State(m.State) == detector.Alive {
+			out = append(out, m.Address)
+		}
+	}
+	if len(out) > meshSize {
+		return p.gossiper.Neighbours()
+	}
+	return out
+}
+
+func (p *parts) memberNames() []string {
+	names := []string{p.settings.Name}
+	for _, m := range p.gossiper.Members() {
+		if detector.State(m.State) == detector.Alive {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// seeds returns the addresses that may be hosts.
+func (p *parts) seeds() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := slices.Clone(p.settings.Seeds)
+	for _, e := range p.listed {
+		if e.State != stateLeaving {
+			out = append(out, e.Address)
+		}
+	}
+	return out
+}
+
+// changed follows the membership.
+func (p *parts) changed(m *framer.Member) {
+	p.log.Event(logger.MemberChanged).Str("member", m.Name).Stringer("state", detector.State(m.State)).
+		Bool("ready", m.Ready).Str("accuser", m.Accuser).Str("reason", m.Reason).Send()
+	if detector.State(m.State) >= detector.Left {
+		p.shifter.Forget(m.Name)
+	}
+	p.refreshHosts()
+}
+
+// refreshHosts rebuilds what look-ups answer and who the neighbours are.
+func (p *parts) refreshHosts() {
+	members := p.gossiper.Members()
+	p.spreader.SetPeers(p.gossiper.Neighbours(), len(members)+1)
+	if p.drainer.State() == drainer.Ready {
+		self := p.gossiper.Self()
+		self.Ready = true
+		members = append(members, self)
+	}
+	plan := p.holder.Plan()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hosts []finder.Host
+	for _, m := range members {
+		if detector.State(m.State) != detector.Alive || !m.Ready || plan.Drained(planner.DrainHost, m.Name) || p.listedLeaving(m.Address) {
+			continue
+		}
+		s, ok := p.seen[m.Name]
+		if !ok || s.incarnation != m.Incarnation && !m.Ready {
+			s = sight{m.Incarnation, now}
+			p.seen[m.Name] = s
+		}
+		hosts = append(hosts, finder.Host{Name: m.Name, Address: m.Caller, Region: m.Region, Zone: m.Zone, Since: s.since})
+	}
+	p.finder.Install(hosts)
+}
+
+func (p *parts) listedLeaving(address string) bool {
+	return slices.ContainsFunc(p.listed, func(e adapter.Entry) bool { return e.Address == address && e.State == stateLeaving })
+}
+
+// watchHosts reads the platform's list, which may name hosts of ours and of
+// upstreams.
+func (p *parts) watchHosts(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.readHosts(ctx)
+		wait(ctx, listPeriod)
+	}
+}
+
+func (p *parts) readHosts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, err := p.store.Hosts(ctx)
+	p.storeUp.Store(err == nil)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.listed = entries
+	p.mu.Unlock()
+	plan := p.holder.Plan()
+	for _, e := range entries {
+		if e.State == stateLeaving && plan.Upstream(e.Name) != nil {
+			p.leaving(e.Name, gauger.ListSign)
+		}
+	}
+	p.refreshHosts()
+}
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -1,68 +1,75 @@
-// Package runner runs one host: it builds the parts from the settings, opens
-// the listeners and ends them in order.
+// Package runner runs one host: it builds the parts from the settings, joins
+// them, opens the listeners and ends everything in order.
 package runner
 
 import (
 	"context"
-	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
-	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
-	"dandeliontrack.example/dandeliontrack/internal/process/controller"
-	"dandeliontrack.example/dandeliontrack/internal/process/holder"
+	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
-	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
-	"dandeliontrack.example/dandeliontrack/internal/request/forwarder"
-	"dandeliontrack.example/dandeliontrack/internal/request/router"
-	"dandeliontrack.example/dandeliontrack/internal/version/planner"
-	"dandeliontrack.example/dandeliontrack/pkg/api"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
-// refreshPeriod is how often a host reads the accepted version from the store.
-const refreshPeriod = 5 * time.Second
+// network opens the sockets of a host.
+type network struct {
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	listen func(network, address string) (net.Listener, error)
+}
+
+// An Option changes how a host reaches the network.
+type Option func(*network)
+
+// WithDial makes the host open every connection with dial instead of a
+// net.Dialer.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(n *network) { n.dial = dial }
+}
+
+// WithListen makes the host open every listener with listen instead of
+// net.Listen.
+func WithListen(listen func(network, address string) (net.Listener, error)) Option {
+	return func(n *network) { n.listen = listen }
+}
 
 // Runner is one host.
 type Runner struct {
-	settings  *settler.Settings
-	log       logger.Logger
-	holder    *holder.Holder
-	publisher *publisher.Publisher
-	caller    *http.Server
-	operator  *http.Server
+	settings *settler.Settings
+	log      logger.Logger
+	network  network
+	parts    *parts
+	caller   *http.Server
+	operator *http.Server
+
+	abort     chan struct{}
+	abortOnce sync.Once
 }
 
 // New builds a host without opening a socket.
-func New(s *settler.Settings, log logger.Logger) (*Runner, error) {
-	p := s.Platform
-	store := adapter.New(p.Table, p.Objects, p.Hosts, time.Duration(p.Timeout), nil)
-	h := new(holder.Holder)
-	h.OnInstall(func(plan *planner.Plan) {
-		log.Event(logger.VersionInstalled).Uint64("version", plan.Version()).Str("id", plan.ID()).Send()
-	})
-	pub := publisher.New(store, h)
-	server, err := api.NewServer(controller.New(s, h, pub))
+func New(s *settler.Settings, log logger.Logger, options ...Option) (*Runner, error) {
+	n := network{dial: new(net.Dialer).DialContext, listen: net.Listen}
+	for _, o := range options {
+		o(&n)
+	}
+	p, err := newParts(s, log, n)
 	if err != nil {
-		return nil, classifier.Internal.Wrap(err, "API server")
+		return nil, err
+	}
+	callers, operators, err := p.handlers()
+	if err != nil {
+		return nil, err
 	}
-	callers := http.NewServeMux()
-	callers.Handle(forwarder.Prefix, forwarder.New(h, pool.New(pool.Options{}), forwarder.Options{
-		Name: s.Name, Region: s.Region, Body: s.Limits.Body, Chooser: forwarder.Simple(new(router.Router)),
-	}))
-	callers.Handle("/v1/lookup/", server)
-	operators := http.NewServeMux()
-	operators.Handle("/v1/", server)
-	operators.Handle("/debug/vars", expvar.Handler())
 	return &Runner{
-		settings: s, log: log, holder: h, publisher: pub,
+		settings: s, log: log, network: n, parts: p,
 		caller:   newServer(s, callers),
 		operator: newServer(s, operators),
+		abort:    make(chan struct{}),
 	}, nil
 }
 
@@ -80,38 +87,63 @@
 	}
 }
 
-// Run serves until ctx ends, then lets the requests in flight finish.
+// Ready reports whether the host takes new work.
+func (r *Runner) Ready() bool { return r.parts.drainer.State() == drainer.Ready }
+
+// Abort ends a stop at once. What it cuts off is logged.
+func (r *Runner) Abort() { r.abortOnce.Do(func() { close(r.abort) }) }
+
+// Run serves until ctx ends, and then stops gracefully: the host leaves the
+// look-ups, serves callers with a cached look-up until its lifetime ends, lets
+// every request in flight finish, and gives its shares back. The stop is cut
+// short by Abort or by the hard deadline in the settings.
 func (r *Runner) Run(ctx context.Context) error {
-	g, gctx := errgroup.WithContext(ctx)
-	servers := map[*http.Server]settler.Listener{r.caller: r.settings.Caller, r.operator: r.settings.Operator}
-	for server, l := range servers {
-		listener, err := net.Listen("tcp", l.Listen)
-		if err != nil {
-			r.log.Event(logger.ListenFailed).Err(err).Send()
-			return classifier.Invalid.Wrap(err, "listen")
-		}
-		g.Go(func() error { return serve(server, listener, l) })
+	listeners, err := r.listen()
+	if err != nil {
+		return err
 	}
+	// The parts go on working during the stop.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, gctx := errgroup.WithContext(life)
+	g.Go(func() error { return serve(r.caller, listeners[0], r.settings.Caller) })
+	g.Go(func() error { return serve(r.operator, listeners[1], r.settings.Operator) })
+	g.Go(func() error { return r.parts.linker.Serve(listeners[2]) })
 	r.log.Event(logger.HostStarted).Str("caller", r.settings.Caller.Listen).Send()
+	r.parts.start(gctx, g)
 	g.Go(func() error {
-		r.refresh(gctx)
-		return nil
-	})
-	g.Go(func() error {
-		<-gctx.Done()
-		r.log.Event(logger.HostLeaving).Send()
-		for server := range servers {
-			if err := server.Shutdown(context.Background()); err != nil {
-				return classifier.Internal.Wrap(err, "shutdown")
-			}
+		select {
+		case <-ctx.Done():
+			r.stop(life)
+		case <-gctx.Done():
 		}
-		return nil
+		end()
+		_ = r.operator.Close()
+		_ = r.caller.Close()
+		return r.parts.linker.Close()
 	})
-	err := g.Wait()
+	err = g.Wait()
+	r.parts.pool.Close()
 	r.log.Event(logger.HostStopped).Send()
 	return err
 }
 
+func (r *Runner) listen() ([]net.Listener, error) {
+	var out []net.Listener
+	for _, address := range []string{r.settings.Caller.Listen, r.settings.Operator.Listen, r.settings.Peer.Listen} {
+		l, err := r.network.listen("tcp", address)
+		if err != nil {
+			r.log.Event(logger.ListenFailed).Err(err).Send()
+			for _, open := range out {
+				_ = open.Close()
+			}
+			return nil, classifier.Invalid.Wrap(err, "listen")
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
 func serve(server *http.Server, listener net.Listener, l settler.Listener) error {
 	var err error
 	if l.Certificate != "" {
@@ -124,18 +156,3 @@
 	}
 	return classifier.Internal.Wrap(err, "serve")
 }
-
-func (r *Runner) refresh(ctx context.Context) {
-	ticker := time.NewTicker(refreshPeriod)
-	defer ticker.Stop()
-	for {
-		if err := r.publisher.Refresh(ctx); err != nil && ctx.Err() == nil {
-			r.log.Event(logger.StoreFailed).Err(err).Send()
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
