Count own requests and reported load as parts of their limits

Reports of all hosts outweighed the host's own count, and all hosts crowded at the upstream that was idle a second ago.

--- a/internal/request/naive/naive_test.go
+++ b/internal/request/naive/naive_test.go
@@ -21,11 +21,12 @@
 	slots    = 24
 	requests = 60000
 	service  = 60 // requests that arrive while one is served
+	large    = 10 // times slots and service, in a large world
 )
 
 var start = time.Unix(1e9, 0)
 
-func plan(t *testing.T) *planner.Plan {
+func plan(t *testing.T, size int) *planner.Plan {
 	note := &noter.Note{ID: "first"}
 	names := []string{"bkk", "cnx", "hdy"}
 	s := noter.Service{Name: "catalog", Class: "lookup", Shares: map[string]int{"bkk": 3, "cnx": 2, "hdy": 1}, Cap: noter.Cap{Fraction: 0.1, Every: noter.Duration(20 * time.Second)}, Timeout: noter.Duration(time.Second)}
@@ -37,7 +38,7 @@
 			}
 		}
 		for j := range 5 {
-			note.Added.Upstreams = append(note.Added.Upstreams, noter.Upstream{Name: fmt.Sprint(r, j), Service: "catalog", Region: r, Zone: r + "-a", Address: fmt.Sprintf("127.0.%d.1:%d", i, 9000+j), Slots: slots, Connections: 30})
+			note.Added.Upstreams = append(note.Added.Upstreams, noter.Upstream{Name: fmt.Sprint(r, j), Service: "catalog", Region: r, Zone: r + "-a", Address: fmt.Sprintf("127.0.%d.1:%d", i, 9000+j), Slots: slots * size, Connections: 30 * size})
 		}
 	}
 	note.Added.Services = []noter.Service{s}
@@ -49,7 +50,22 @@
 type units map[*planner.Upstream]int
 
 func (c units) Flight(u *planner.Upstream) int { return c[u] }
-func (c units) Free(u *planner.Upstream) int   { return slots/hosts - c[u] }
+func (c units) Free(u *planner.Upstream) int   { return u.Slots()/hosts - c[u] }
+
+// single draws one upstream of the region that the Router chose.
+type single struct {
+	*router.Router
+	rng *rand.Rand
+}
+
+func (s single) Choose(now time.Time, q *router.Query) (router.Choice, error) {
+	c, err := s.Router.Choose(now, q)
+	if err != nil {
+		return c, err
+	}
+	ups := q.Service.UpstreamsIn(c.Region().Index())
+	return router.Chosen(ups[s.rng.IntN(len(ups))]), nil
+}
 
 type end struct {
 	host int
@@ -58,24 +74,25 @@
 
 // world is a fleet that serves requests, 1 ms apart, from all hosts in turn.
 type world struct {
-	plan   *planner.Plan
-	rng    *rand.Rand
-	gauges []*gauger.Gauger
-	shifts []*shifter.Shifter
-	units  []units
-	choose []Chooser
-	ends   map[int][]end
-	flight units
-	peak   int
-	refuse int
-	count  map[*planner.Upstream]int
-	mix    [][]float64 // served requests by region, each second
-	probe  func(w *world, u *planner.Upstream, second int) (gauger.State, int)
-	fast   string // fails at once
+	plan    *planner.Plan
+	rng     *rand.Rand
+	gauges  []*gauger.Gauger
+	shifts  []*shifter.Shifter
+	units   []units
+	choose  []Chooser
+	ends    map[int][]end
+	flight  units
+	peak    int
+	refuse  int
+	service int
+	count   map[*planner.Upstream]int
+	mix     [][]float64 // served requests by region, each second
+	probe   func(w *world, u *planner.Upstream, second int) (gauger.State, int)
+	fast    string // fails at once
 }
 
-func newWorld(t *testing.T, baseline bool, live int) *world {
-	w := &world{plan: plan(t), rng: rand.New(rand.NewPCG(11, 5)), ends: map[int][]end{}, flight: units{}, count: map[*planner.Upstream]int{}}
+func newWorld(t *testing.T, baseline bool, live, size int) *world {
+	w := &world{service: service * size, plan: plan(t, size), rng: rand.New(rand.NewPCG(11, 5)), ends: map[int][]end{}, flight: units{}, count: map[*planner.Upstream]int{}}
 	w.probe = func(w *world, u *planner.Upstream, _ int) (gauger.State, int) { return gauger.Ready, w.flight[u] }
 	for range hosts {
 		g, s, c := gauger.New(start), shifter.New(start), units{}
@@ -110,7 +127,7 @@
 			w.refuse++
 			continue
 		}
-		u, took := c.Upstream(), service
+		u, took := c.Upstream(), w.service
 		if u.Name() == w.fast {
 			took = 1
 		}
@@ -147,7 +164,7 @@
 // Guards against a Router that distributes calm traffic in another way than the
 // operator's shares and equal upstreams, which the baseline gives.
 func TestCalmTrafficIsDistributedAlike(t *testing.T) {
-	a, b := newWorld(t, false, hosts), newWorld(t, true, hosts)
+	a, b := newWorld(t, false, hosts, 1), newWorld(t, true, hosts, 1)
 	a.run()
 	b.run()
 	assert.Equal(t, a.refuse+b.refuse, 0)
@@ -224,7 +241,7 @@
 	} {
 		var got [2]float64
 		for i, baseline := range []bool{false, true} {
-			w := newWorld(t, baseline, c.live)
+			w := newWorld(t, baseline, c.live, 1)
 			c.fault(w)
 			w.run()
 			got[i] = c.count(w)
@@ -265,7 +282,7 @@
 			return gauger.Ready, w.flight[u]
 		}, 0.4},
 	} {
-		w := newWorld(t, false, hosts)
+		w := newWorld(t, false, hosts, 1)
 		w.probe = c.probe
 		w.run()
 		got := float64(w.count[w.plan.Upstream("bkk0")]) / (requests / 2 / 5)
@@ -273,3 +290,22 @@
 		assert.Check(t, got <= c.most && w.peak <= slots, name)
 	}
 }
+
+// Guards against reports that are older than a request lasts and make all hosts
+// crowd at the upstream that was idle then: two choices must not be worse than
+// one random draw.
+func TestOldReportsDoNotCrowd(t *testing.T) {
+	var peak [2]int
+	for i := range peak {
+		w := newWorld(t, false, hosts, large)
+		for h, c := range w.choose {
+			if i == 1 {
+				w.choose[h] = single{c.(*router.Router), w.rng}
+			}
+		}
+		w.run()
+		peak[i] = w.peak
+	}
+	t.Logf("largest number in flight at an upstream: two choices %d, one random draw %d", peak[0], peak[1])
+	assert.Assert(t, peak[0] <= peak[1])
+}
--- a/internal/request/router/pick.go
+++ b/internal/request/router/pick.go
@@ -13,9 +13,9 @@
 	draws = 8
 
 	// zoneMargin is how much higher the score of the best upstream drawn from
-	// the own zone may be than that of one in another zone. A score of 1 is
-	// about one request for each slot.
-	zoneMargin = 0.25
+	// the own zone may be than that of one in another zone. With two units at
+	// an upstream, one request in flight is half of them.
+	zoneMargin = 0.5
 
 	// errorPenalty multiplies the score by up to 1+errorPenalty. An upstream
 	// that fails quickly always has few requests in flight, so its score must
@@ -29,18 +29,24 @@
 	upstream *planner.Upstream
 	reading  gauger.Reading
 	flight   int
+	units    int // this host's own, free and in use
 }
 
-// score estimates how loaded the upstream is. The reported load counts with the
-// given weight, and never less than this host's own requests.
+// score estimates how loaded the upstream is: the used part of this host's own
+// units, plus the used part of all slots as reported, times the given weight.
+// The report counts never less than this host's own requests. Each term is a
+// part, so one request of this host weighs as much as its share of the fleet's:
+// counted in requests, the reports of all hosts would outweigh the own count,
+// which is the only one without delay.
 func (c *candidate) score(weight float64) float64 {
 	e := c.reading.Errors()
 	if c.reading.Warm() <= 0 {
 		// Nothing is known about any upstream.
 		return 0
 	}
-	load := float64(1+c.flight) + weight*float64(max(c.reading.Load(), c.flight))
-	return load / (float64(c.upstream.Slots()) * c.reading.Warm()) * (1 + errorPenalty*e*e)
+	own := float64(1+c.flight) / float64(c.units)
+	all := float64(max(c.reading.Load(), c.flight)) / float64(c.upstream.Slots())
+	return (own + weight*all) / c.reading.Warm() * (1 + errorPenalty*e*e)
 }
 
 // weight returns how much the reported load counts. A report of zero counts as
@@ -163,5 +169,5 @@
 		q.pass(u.Region(), u, "warming up")
 		return candidate{}, true
 	}
-	return candidate{u, reading, flight}, false
+	return candidate{u, reading, flight, free + flight}, false
 }
