--- a/internal/process/gauger/gauger.go
+++ b/internal/process/gauger/gauger.go
@@ -84,10 +84,9 @@
 // Gauger holds the state of all upstreams. All methods are safe for concurrent
 // use; Read and Region take no lock.
 type Gauger struct {
-	epoch   time.Time
-	mu      sync.Mutex
-	entries map[string]*entry
-	table   atomic.Pointer[table]
+	epoch time.Time
+	mu    sync.Mutex
+	table atomic.Pointer[table]
 }
 
 // table maps the indices of one plan to entries.
@@ -96,6 +95,7 @@
 	entries []*entry
 	regions [][]*region
 	byName  map[string]*entry
+	gone    map[string]*entry // withdrawn by this plan; requests may still hold the one before
 }
 
 // entry is the state of one upstream. Writers hold mu; readers use the atomics.
@@ -121,7 +121,7 @@
 
 // New returns an empty Gauger.
 func New(now time.Time) *Gauger {
-	return &Gauger{epoch: now.Add(-time.Nanosecond), entries: make(map[string]*entry)}
+	return &Gauger{epoch: now.Add(-time.Nanosecond)}
 }
 
 func (g *Gauger) at(t time.Time) int64 { return int64(t.Sub(g.epoch)) }
@@ -129,23 +129,23 @@
 // Install makes the upstreams of a plan known. What is known about an upstream
 // stays. An upstream that a later plan adds starts its ramp; those of the first
 // plan do not, because the start of this host says nothing about them. An
-// upstream that a plan no longer has is leaving.
+// upstream that a plan no longer has is leaving. Call Install before requests
+// see the plan.
 func (g *Gauger) Install(p *planner.Plan, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	old := g.table.Load()
-	next := &table{plan: p, byName: make(map[string]*entry, len(p.Upstreams()))}
+	next := &table{plan: p, byName: make(map[string]*entry, len(p.Upstreams())), gone: make(map[string]*entry)}
 	for _, u := range p.Upstreams() {
-		e := g.entries[u.Name()]
-		switch {
-		case e == nil:
+		var e *entry
+		if old != nil {
+			e = old.byName[u.Name()]
+		}
+		if e == nil {
 			e = new(entry)
 			if old != nil {
 				e.warm.Store(g.at(now))
 			}
-		case e.sign.Load() == uint32(NoteSign) && e.leaving.Load() != 0:
-			e.leaving.Store(0)
-			e.warm.Store(g.at(now))
 		}
 		next.byName[u.Name()] = e
 		next.entries = append(next.entries, e)
@@ -154,10 +154,10 @@
 		for name, e := range old.byName {
 			if next.byName[name] == nil {
 				e.leave(NoteSign, g.at(now))
+				next.gone[name] = e
 			}
 		}
 	}
-	g.entries = next.byName
 	for _, s := range p.Services() {
 		row := make([]*region, len(p.Regions()))
 		for i, r := range p.Regions() {
@@ -185,7 +185,10 @@
 	if all := t.plan.Upstreams(); i < len(all) && (all[i] == u || all[i].Name() == u.Name()) {
 		return t.entries[i]
 	}
-	return t.byName[u.Name()]
+	if e := t.byName[u.Name()]; e != nil {
+		return e
+	}
+	return t.gone[u.Name()]
 }
 
 // OnHealth records what a probe found: Ready, Starting, Draining, or Failed if
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -196,6 +197,36 @@
 	assert.Equal(t, testing.AllocsPerRun(1000, func() { q.Hash++; _, _ = r.Choose(now, &q) }), 0.0)
 }
 
+// Guards against a hot path that races with installs, steps and readings.
+func TestChooseWhileStateChanges(t *testing.T) {
+	p := plan(t, 3, 6)
+	r, g, s := build(p, units{})
+	var wg sync.WaitGroup
+	for n := range 4 {
+		wg.Go(func() {
+			for i := range 500 {
+				at := now.Add(time.Duration(i) * 250 * time.Millisecond)
+				u := p.Upstreams()[i%len(p.Upstreams())]
+				switch q := (Query{Plan: p, Service: p.Services()[0], Hash: uint64(i)}); n {
+				case 0:
+					g.Install(p, at)
+					s.Install(p, at)
+					r.Install(p)
+				case 1:
+					g.OnHealth(u.Name(), gauger.Ready, at, at)
+					g.Evaluate(at)
+					s.Step(at)
+				default:
+					c, err := r.Choose(at, &q)
+					assert.Check(t, err == nil && c.Region() != nil)
+					g.OnAnswer(u, i%2 == 0, at)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for name, size := range map[string][2]int{"today": {3, 14}, "target": {58, 345}} {
 		b.Run(name, func(b *testing.B) {
