Test the request path against broken upstreams and callers

Faults found by the tests and corrected: a read timeout of the body ends the request's context and looked like a caller that left; full duplex with an unread body made the server panic; undeclared trailers were lost; a refusal of a long body was lost to a reset. go test -race -count=10 ./internal/request/forwarder passes.

--- a/internal/request/forwarder/answer.go
+++ b/internal/request/forwarder/answer.go
@@ -244,7 +244,7 @@
 			x.bytes += int64(n)
 		}
 		if err == io.EOF {
-			x.trail(first, r.a.resp)
+			x.trail(r.a.resp)
 			return nil
 		}
 		if n < len(buf) {
@@ -270,9 +270,7 @@
 	for name := range resp.Trailer {
 		h["Trailer"] = append(h["Trailer"], name)
 	}
-	if x.upload != nil && !x.upload.whole.Load() && x.r.ProtoMajor == 1 {
-		h["Connection"] = []string{"close"} // the rest of the body is not read
-	}
+	x.closeEarly()
 	x.w.WriteHeader(resp.StatusCode)
 	x.head.Unlock()
 	if len(body) == 0 {
@@ -294,13 +292,14 @@
 }
 
 // trail passes the trailers on, those that the header announced and others.
-func (x *exchange) trail(first, last *http.Response) {
+func (x *exchange) trail(last *http.Response) {
 	h := x.w.Header()
+	announced := h["Trailer"]
 	for name, values := range last.Trailer {
 		if hop[name] || strings.HasPrefix(name, "Content-") {
 			continue
 		}
-		if _, ok := first.Trailer[name]; !ok {
+		if !slices.Contains(announced, name) {
 			name = http.TrailerPrefix + name
 		}
 		h[name] = values
--- /dev/null
+++ b/internal/request/forwarder/answer_test.go
@@ -0,0 +1,306 @@
+package forwarder
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+var content = bytes.Repeat([]byte("0123456789abcdef"), 40<<10)
+
+func file(etag string) http.HandlerFunc {
+	return echo(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Etag", etag)
+		http.ServeContent(w, r, "plan.bin", time.Time{}, bytes.NewReader(content))
+	})
+}
+
+// cut sends the first part of content and breaks the connection.
+func cut(etag string, chunked bool) http.HandlerFunc {
+	return echo(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Etag", etag)
+		if !chunked {
+			w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+		}
+		_, _ = w.Write(content[:len(content)/3])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// Guards against a short or mixed answer that looks complete, for HTTP/1.1,
+// HTTP/2, and bodies with and without a length.
+func TestTruncated(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second string
+		whole         bool
+	}{
+		"strong":  {`"v1"`, `"v1"`, true},
+		"changed": {`"v1"`, `"v2"`, false},
+		"weak":    {`W/"v1"`, `W/"v1"`, false},
+		"none":    {"", "", false},
+	} {
+		for _, h2 := range []bool{false, true} {
+			for _, chunked := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s h2=%v chunked=%v", name, h2, chunked), func(t *testing.T) {
+					g := wired(t, cut(c.first, chunked), file(c.second))
+					g.retries.Store(1)
+					g.client = g.newClient(t, h2)
+					_, body, err := g.do(t, g.request(t, http.MethodGet, "/s/docs/f", ""))
+					assert.Equal(t, err == nil, c.whole, "%v", err)
+					assert.Assert(t, !c.whole || body == string(content))
+					trace := <-g.traces
+					assert.Equal(t, trace.Resumed == 1, c.first != "" && c.first[0] == '"')
+				})
+			}
+		}
+	}
+}
+
+// Guards against a broken answer for an HTTP/1.0 caller, which takes the end of
+// the connection for the end of the answer.
+func TestTruncatedForOldCaller(t *testing.T) {
+	g := wired(t, cut("", true))
+	c, err := net.Dial("tcp", g.host)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /s/docs/f HTTP/1.0\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(c)
+	assert.Assert(t, err != nil, "the broken answer ended cleanly")
+}
+
+// Guards against changed bytes reaching a caller as a complete answer.
+func TestDigest(t *testing.T) {
+	sum := sha256.Sum256(content)
+	field := "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
+	for name, c := range map[string]struct {
+		size  int
+		match bool
+	}{"short": {100, false}, "long": {len(content) - 1, false}, "same": {len(content), true}} {
+		t.Run(name, func(t *testing.T) {
+			g := wired(t, echo(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Repr-Digest", field)
+				w.Header().Set("Content-Length", strconv.Itoa(c.size))
+				_, _ = w.Write(content[:c.size])
+			}))
+			r := g.request(t, http.MethodGet, "/s/docs/f", "")
+			if c.size <= bufferSize {
+				g.refused(t, r, classifier.Truncated)
+				return
+			}
+			_, _, err := g.do(t, r)
+			assert.Equal(t, err == nil, c.match, "%v", err)
+		})
+	}
+}
+
+// Guards against an answer whose end cannot be told from a broken connection.
+func TestUnending(t *testing.T) {
+	g := &rig{network: network{wires: true}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nConnection: close\r\n\r\nhalf")
+		_ = c.Close()
+	}()
+	newRig(t, g, l.Addr().String(), "127.0.0.1:1")
+	g.refused(t, g.request(t, http.MethodGet, "/s/docs/f", "", "Request-Id", "r1"), classifier.Truncated)
+}
+
+// Guards against a download that hangs for good at an upstream, and against one
+// that is cut off only because it takes longer than the progress timeout.
+func TestStalledDownload(t *testing.T) {
+	for name, stalls := range map[string]bool{"stalls": true, "slow": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := bubble(t, echo(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+					w.Header().Set("Etag", `"v1"`)
+					for part := range 4 {
+						time.Sleep(time.Duration(part) * 3 * time.Second)
+						_, _ = w.Write(content[part*len(content)/4 : (part+1)*len(content)/4])
+						_ = http.NewResponseController(w).Flush()
+						if stalls {
+							<-r.Context().Done()
+							return
+						}
+					}
+				}), file(`"v1"`))
+				g.retries.Store(1)
+				_, body, err := g.do(t, g.request(t, http.MethodGet, "/s/docs/f", ""))
+				assert.NilError(t, err)
+				assert.Assert(t, body == string(content))
+				trace := <-g.traces
+				assert.Equal(t, trace.Resumed == 1, stalls)
+			})
+		})
+	}
+}
+
+// Guards against a caller that holds a unit without sending its body.
+func TestSlowSender(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := bubble(t, echo(func(_ http.ResponseWriter, r *http.Request) {
+			if _, err := io.Copy(io.Discard, r.Body); err == nil {
+				t.Error("the body ended cleanly")
+			}
+		}))
+		from, to := io.Pipe()
+		time.AfterFunc(time.Minute, func() { _ = to.Close() }) // ends a test that fails
+		defer to.Close()
+		r := g.request(t, http.MethodPost, "/s/docs/x", "")
+		r.Body, r.ContentLength = from, 100
+		go func() { _, _ = to.Write([]byte("part")) }()
+		start := time.Now()
+		g.refused(t, r, classifier.Failed)
+		assert.Equal(t, time.Since(start).Truncate(time.Second), senderTime)
+		time.Sleep(time.Second) // the server closes the connection a little later
+	})
+}
+
+// Guards against a look-up that waits at a silent connection until its
+// deadline, and against a request that must not be repeated being cut off
+// because its upstream is slow.
+func TestSilentOrSlow(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path, want string
+	}{
+		"look-up moves": {http.MethodGet, "/s/prices/x", "second"},
+		"order waits":   {http.MethodPost, "/s/prices/x", "first"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := bubble(t, echo(func(w http.ResponseWriter, r *http.Request) {
+					select {
+					case <-time.After(20 * time.Second):
+					case <-r.Context().Done():
+					}
+					_, _ = io.WriteString(w, "first")
+				}), echo(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "second") }))
+				g.retries.Store(1)
+				_, body, err := g.do(t, g.request(t, c.method, c.path, ""))
+				assert.NilError(t, err)
+				assert.Equal(t, body, c.want)
+			})
+		})
+	}
+}
+
+// Guards against hedges that use more than their budget, that leave the loser
+// running, or that make a look-up wait for the slower answer.
+func TestHedge(t *testing.T) {
+	for name, c := range map[string]struct {
+		retries int64
+		want    string
+	}{"allowed": {1, "fast"}, "no budget": {0, "slow"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cancelled := make(chan struct{}, 1)
+				g := bubble(t, echo(func(w http.ResponseWriter, r *http.Request) {
+					select {
+					case <-time.After(time.Second):
+						_, _ = io.WriteString(w, "slow")
+					case <-r.Context().Done():
+						cancelled <- struct{}{}
+					}
+				}), echo(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fast") }))
+				g.hedge = 50 * time.Millisecond
+				g.retries.Store(c.retries)
+				_, body, err := g.do(t, g.request(t, http.MethodGet, "/s/prices/x", ""))
+				assert.NilError(t, err)
+				assert.Equal(t, body, c.want)
+				if c.want == "fast" {
+					<-cancelled
+				}
+				assert.Equal(t, g.observed[Broken].Load()+g.observed[Slow].Load(), int64(0))
+			})
+		})
+	}
+}
+
+// Guards against an upstream that answers after the deadline: the answer must
+// not reach the next request.
+func TestLateAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := bubble(t, echo(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/late" {
+				time.Sleep(3 * time.Second)
+			}
+			_, _ = io.WriteString(w, r.URL.Path)
+		}))
+		g.refused(t, g.request(t, http.MethodPost, "/s/docs/late", "", "Request-Timeout", "1s"), classifier.TimedOut)
+		time.Sleep(2500 * time.Millisecond)
+		_, body, err := g.do(t, g.request(t, http.MethodGet, "/s/docs/next", ""))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "/next")
+	})
+}
+
+// Guards against a wait for a connection or unit that outlives the deadline, and
+// against "may have run" for a request that was never sent.
+func TestExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := bubble(t, echo(func(http.ResponseWriter, *http.Request) {}))
+		g.network.mu.Lock()
+		for at := range g.at {
+			if at != g.host {
+				g.at[at] = make(chan net.Conn) // nobody accepts
+			}
+		}
+		g.network.mu.Unlock()
+		g.refused(t, g.request(t, http.MethodPost, "/s/docs/x", "", "Request-Timeout", "1s"), classifier.Expired)
+	})
+}
+
+// Guards against timeouts that are taken for longer than the service allows, and
+// against a crash on what callers send.
+func FuzzTimeout(f *testing.F) {
+	for _, s := range []string{"1500ms", "1h", "-1s", "", "9223372036854775807ns", "1e9s", "1s ", "0"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		d, err := timeout(http.Header{"Request-Timeout": {s}}, time.Minute)
+		assert.Assert(t, err != nil || d > 0 && d <= time.Minute)
+		assert.Assert(t, err == nil || classifier.Of(err) == classifier.BadRequest)
+		if id, err := token(http.Header{"Request-Id": {s}}, "Request-Id"); err == nil {
+			assert.Assert(t, id != "" && len(id) <= maxToken)
+		}
+	})
+}
+
+// Guards against a digest that is read from a field that does not hold it.
+func FuzzDigest(f *testing.F) {
+	sum := sha256.Sum256(nil)
+	good := "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
+	for _, s := range []string{good, "sha-512=:AA==:, " + good + ";x=1", "sha-256=AA", "sha-256=:AA==:", "sha-256=", good + ", sha-256=::", "\"" + good} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		got, ok := digest(http.Header{"Repr-Digest": {s}})
+		if ok {
+			again, ok := digest(http.Header{"Repr-Digest": {"sha-256=:" + base64.StdEncoding.EncodeToString(got[:]) + ":"}})
+			assert.Assert(t, ok && again == got)
+		}
+	})
+	got, ok := digest(http.Header{"Repr-Digest": {good}})
+	assert.Assert(f, ok && got == sum)
+}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -179,7 +179,7 @@
 			out.Body = io.NopCloser(bytes.NewReader(x.whole))
 		}
 	case x.upload != nil:
-		x.upload.link = a.link
+		x.upload.start(a.link)
 		out.Body = x.upload
 		out.Trailer = x.r.Trailer
 	}
@@ -247,7 +247,7 @@
 	sight := Answered
 	if err != nil {
 		why := a.cause.Load()
-		if why != nil && *why == errLost || a.ctx.Err() == context.Canceled && why == nil && x.r.Context().Err() != nil {
+		if why != nil && *why == errLost || a.ctx.Err() == context.Canceled && why == nil && x.left() {
 			return // nothing was learned about the upstream
 		}
 		var ok bool
--- a/internal/request/forwarder/body.go
+++ b/internal/request/forwarder/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,10 +16,7 @@
 // senderTime is how long a caller may leave its request body without a byte.
 const senderTime = 10 * time.Second
 
-var (
-	errTooLong = errors.New("the request body exceeds its bound")
-	errEnded   = errors.New("the request has ended")
-)
+var errEnded = errors.New("the request has ended")
 
 // upload reads the request body of the caller: bounded, with progress, and not
 // after the handler has returned. The transport reads it in its own goroutine,
@@ -25,8 +24,8 @@
 type upload struct {
 	body    io.ReadCloser
 	control *http.ResponseController
-	left    int64
 	link    *pool.Link
+	started bool        // full duplex is on
 	touched atomic.Bool // at least one Read began
 	ended   atomic.Bool
 	whole   atomic.Bool // the end of the body was read
@@ -35,11 +34,17 @@
 }
 
 func newUpload(w http.ResponseWriter, r *http.Request, bound int64) *upload {
-	u := &upload{body: r.Body, control: http.NewResponseController(w), left: bound}
-	// Without full duplex the server would read the body on its own as soon as
-	// the answer starts.
-	_ = u.control.EnableFullDuplex()
-	return u
+	return &upload{body: http.MaxBytesReader(w, r.Body, bound), control: http.NewResponseController(w)}
+}
+
+// start prepares the body for being read while the answer is written. Without
+// full duplex the server would read it on its own as soon as the answer starts.
+func (u *upload) start(l *pool.Link) {
+	u.link = l
+	if !u.started {
+		u.started = true
+		_ = u.control.EnableFullDuplex()
+	}
 }
 
 // Read implements io.Reader.
@@ -59,10 +64,6 @@
 		return 0, errEnded
 	}
 	n, err := u.body.Read(p)
-	u.left -= int64(n)
-	if u.left < 0 {
-		n, err = 0, errTooLong
-	}
 	switch {
 	case err == io.EOF:
 		u.whole.Store(true)
@@ -85,6 +86,14 @@
 	return nil
 }
 
+// late reports whether the caller sent nothing for too long. It is called when
+// the request's context has ended, so that no Read goes on.
+func (u *upload) late() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return errors.Is(u.err(), os.ErrDeadlineExceeded)
+}
+
 // stop ends the use of the body; afterwards nothing reads it any more.
 func (u *upload) stop() {
 	if u.whole.Load() {
@@ -97,3 +106,15 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 }
+
+// closeEarly makes the server close the caller's connection after the answer if
+// the rest of the body is not read. It waits a little before it does, or the
+// caller, which still sends, would lose the answer to a reset.
+func (x *exchange) closeEarly() {
+	if u := x.upload; u == nil || !u.started || u.whole.Load() || x.r.ProtoMajor != 1 {
+		return
+	}
+	// A reader above its bound is how the server is told to do so.
+	var one [1]byte
+	_, _ = http.MaxBytesReader(x.w, io.NopCloser(strings.NewReader(" ")), 0).Read(one[:])
+}
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -134,7 +134,13 @@
 
 // gone reports whether nobody waits for the answer. A request with a claim is
 // carried to its end all the same, so that a repeat finds the answer.
-func (x *exchange) gone() bool { return x.claim == nil && x.r.Context().Err() != nil }
+func (x *exchange) gone() bool { return x.claim == nil && x.left() }
+
+// left reports whether the caller left. The server also ends the context when a
+// read of the body times out, but then the caller is there to be told.
+func (x *exchange) left() bool {
+	return x.r.Context().Err() != nil && (x.upload == nil || !x.upload.late())
+}
 
 // context returns the parent of the contexts of all attempts.
 func (x *exchange) context() context.Context {
@@ -202,11 +208,11 @@
 // end answers an error, records the request, and breaks the caller's stream if
 // it cannot be completed.
 func (x *exchange) end(err error) {
+	gone := x.left()
 	if x.upload != nil {
 		x.upload.stop()
 	}
 	x.extra.Wait()
-	gone := x.r.Context().Err() != nil
 	x.head.Lock()
 	started := x.started
 	x.started = true
@@ -217,6 +223,7 @@
 		if x.service != nil {
 			delay = x.f.options.Gate.Delay(x.service, x.class)
 		}
+		x.closeEarly()
 		refuse(x.w, x.ids[0], err, delay)
 	}
 	x.record(err)
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -59,7 +59,7 @@
 		b.Grow(int(min(n, x.f.options.Body)) + bytes.MinRead)
 	}
 	_, err := b.ReadFrom(x.upload)
-	if errors.Is(err, errTooLong) {
+	if long := new(http.MaxBytesError); errors.As(err, &long) {
 		return classifier.TooLarge.New("the body exceeds the bound of %d bytes", x.f.options.Body)
 	}
 	if err != nil {
--- /dev/null
+++ b/internal/request/forwarder/rig_test.go
@@ -0,0 +1,328 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
+	"dandeliontrack.example/dandeliontrack/internal/process/holder"
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// network connects hosts and upstreams through net.Pipe, so that tests with
+// time run in a bubble, or through the loopback.
+type network struct {
+	mu    sync.Mutex
+	at    map[string]chan net.Conn
+	wires bool
+}
+
+type listener struct {
+	address string
+	conns   chan net.Conn
+	once    sync.Once
+	done    chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+type address string
+
+func (address) Network() string  { return "pipe" }
+func (a address) String() string { return string(a) }
+
+type pipe struct{ net.Conn }
+
+func (pipe) RemoteAddr() net.Addr { return address("192.0.2.99:1") }
+
+func (n *network) listen(t *testing.T, at string) net.Listener {
+	t.Helper()
+	if n.wires {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		return l
+	}
+	l := &listener{address: at, conns: make(chan net.Conn), done: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.at[at] = l.conns
+	return l
+}
+
+func (n *network) dial(ctx context.Context, _, at string) (net.Conn, error) {
+	if n.wires {
+		return new(net.Dialer).DialContext(ctx, "tcp", at)
+	}
+	n.mu.Lock()
+	conns := n.at[at]
+	n.mu.Unlock()
+	if conns == nil {
+		return nil, fmt.Errorf("%s refuses the connection", at)
+	}
+	near, far := net.Pipe()
+	select {
+	case conns <- pipe{far}:
+		return near, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// serve starts a server and returns its address.
+func (n *network) serve(t *testing.T, at string, h http.Handler) string {
+	t.Helper()
+	l := n.listen(t, at)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &http.Server{Handler: h, Protocols: protocols}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// rig is a host with fakes for what decides.
+type rig struct {
+	network
+	f        *Forwarder
+	host     string
+	client   *http.Client
+	pool     *pool.Pool
+	retries  atomic.Int64 // left in the budget
+	hedge    time.Duration
+	observed [Misplaced + 1]atomic.Int64
+	taken    atomic.Int64 // tickets
+	traces   chan Trace
+
+	mu     sync.Mutex
+	claims map[string]*claim
+	voided int
+}
+
+type claim struct {
+	rig         *rig
+	fingerprint [32]byte
+	stored      *Stored
+}
+
+func (c *claim) ID() string { return fmt.Sprintf("%p", c) }
+
+func (g *rig) Choose(_ time.Time, q *Query) (*planner.Upstream, error) {
+	for _, u := range q.Service.Upstreams() {
+		if !q.tried(u) {
+			return u, nil
+		}
+	}
+	return nil, classifier.Shifting.New("no upstream is left")
+}
+
+func (g *rig) Try(time.Time, *planner.Upstream, planner.Class, time.Time) (Ticket, bool) {
+	g.taken.Add(1)
+	return g, true
+}
+func (g *rig) Release(time.Time) { g.taken.Add(-1) }
+func (g *rig) Wait(ctx context.Context, s *planner.Service, c planner.Class, d time.Time) error {
+	return open{}.Wait(ctx, s, c, d)
+}
+
+func (g *rig) Delay(*planner.Service, planner.Class) time.Duration { return 1500 * time.Millisecond }
+func (g *rig) Count(time.Time, *planner.Service)                   {}
+func (g *rig) Hedge(*planner.Service) time.Duration                { return g.hedge }
+func (g *rig) Record(t *Trace)                                     { g.traces <- *t }
+func (g *rig) Retry(time.Time, *planner.Service) (string, bool) {
+	return "empty", g.retries.Add(-1) >= 0
+}
+
+func (g *rig) Observe(_ time.Time, _ *planner.Upstream, s Sight, _ time.Duration) {
+	g.observed[s].Add(1)
+}
+
+func (g *rig) Begin(_ context.Context, _ *planner.Service, customer, key string, fp [32]byte) (Claim, *Stored, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.claims[customer+"/"+key]
+	switch {
+	case c == nil:
+		c = &claim{rig: g, fingerprint: fp}
+		g.claims[customer+"/"+key] = c
+		return c, nil, nil
+	case c.fingerprint != fp:
+		return nil, nil, classifier.KeyReused.New("another request")
+	case c.stored == nil:
+		return nil, nil, classifier.InDoubt.New("no outcome")
+	}
+	return nil, c.stored, nil
+}
+
+func (g *rig) Finish(_ context.Context, c Claim, s *Stored) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.(*claim).stored = s
+	return nil
+}
+
+func (g *rig) Void(_ context.Context, c Claim) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.voided++
+	for key, own := range g.claims {
+		if own == c {
+			delete(g.claims, key)
+		}
+	}
+}
+
+const bound = 1 << 20
+
+// newRig starts a host in front of upstreams at these addresses. The service
+// "docs" has class download, "prices" lookup, both echo.
+func newRig(t *testing.T, g *rig, upstreams ...string) {
+	t.Helper()
+	region := noter.Region{Name: "bkk", Zones: []string{"bkk-a"}, Slots: 100}
+	items := noter.Items{Regions: []noter.Region{region}}
+	for _, s := range []struct{ name, class string }{{"docs", "download"}, {"prices", "lookup"}} {
+		items.Services = append(items.Services, noter.Service{
+			Name: s.name, Class: s.class, Shares: map[string]int{"bkk": 1}, Hedge: true, Echo: true,
+			Cap: noter.Cap{Fraction: 0.1, Every: noter.Duration(time.Second)}, Timeout: noter.Duration(time.Minute),
+			Routes: []noter.Route{{Method: "POST", Prefix: "/repeatable", Class: "lookup"}},
+		})
+	}
+	services := []string{"docs", "prices"}
+	for i, a := range upstreams {
+		// Every address may be used once, so the services take turns.
+		items.Upstreams = append(items.Upstreams, noter.Upstream{
+			Name: fmt.Sprintf("u%d", i), Service: services[i*len(services)/len(upstreams)], Region: "bkk", Zone: "bkk-a",
+			Address: a, Slots: 10, Connections: 10,
+		})
+	}
+	plan, err := new(planner.Plan).Apply(&noter.Note{ID: "n1", Added: items})
+	assert.NilError(t, err)
+	h := new(holder.Holder)
+	assert.NilError(t, h.Install(plan))
+	g.claims, g.traces = make(map[string]*claim), make(chan Trace, 100)
+	g.pool = pool.New(pool.Options{Dial: g.dial})
+	t.Cleanup(g.pool.Close)
+	g.f = New(h, g.pool, Options{
+		Name: "h1", Region: "bkk", Body: bound, Chooser: g, Gate: g, Budget: g, Observer: g, Claims: g, Recorder: g,
+	})
+	g.host = g.serve(t, "192.0.2.1:80", g.f)
+	g.client = g.newClient(t, false)
+}
+
+func (g *rig) newClient(t *testing.T, h2 bool) *http.Client {
+	t.Helper()
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!h2)
+	protocols.SetUnencryptedHTTP2(h2)
+	tr := &http.Transport{DialContext: g.dial, Protocols: protocols, DisableCompression: true, ExpectContinueTimeout: time.Minute}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
+}
+
+// wired starts a host on the loopback. Both services have the same upstreams'
+// handlers.
+func wired(t *testing.T, handlers ...http.Handler) *rig {
+	t.Helper()
+	g := &rig{network: network{wires: true}}
+	var addresses []string
+	for range 2 {
+		for _, h := range handlers {
+			addresses = append(addresses, g.serve(t, "", h))
+		}
+	}
+	newRig(t, g, addresses...)
+	return g
+}
+
+// bubble starts a host behind net.Pipe.
+func bubble(t *testing.T, handlers ...http.Handler) *rig {
+	t.Helper()
+	g := &rig{network: network{at: make(map[string]chan net.Conn)}}
+	var addresses []string
+	for i := range 2 * len(handlers) {
+		at := fmt.Sprintf("192.0.2.%d:80", 10+i)
+		addresses = append(addresses, g.serve(t, at, handlers[i%len(handlers)]))
+	}
+	newRig(t, g, addresses...)
+	return g
+}
+
+func (g *rig) request(t *testing.T, method, path, body string, h ...string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+g.host+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	for i := 0; i < len(h); i += 2 {
+		r.Header.Add(h[i], h[i+1])
+	}
+	return r
+}
+
+// do returns the answer, its body and the error of reading it.
+func (g *rig) do(t *testing.T, r *http.Request) (*http.Response, string, error) {
+	t.Helper()
+	resp, err := g.client.Do(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func (g *rig) refused(t *testing.T, r *http.Request, k classifier.Kind) {
+	t.Helper()
+	resp, body, err := g.do(t, r)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, k.Status(), body)
+	assert.Equal(t, resp.Header.Get("Outcome"), k.Outcome().String())
+	assert.Assert(t, strings.Contains(body, `"kind":"`+k.String()+`"`), body)
+	trace := <-g.traces
+	assert.Equal(t, classifier.Of(trace.Err), k)
+	assert.Equal(t, g.taken.Load(), int64(0), "tickets were not given back")
+}
+
+// echo answers as an upstream does.
+func echo(f func(w http.ResponseWriter, r *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		if r.URL.Path == "/health" {
+			_, _ = io.WriteString(w, "ready")
+			return
+		}
+		f(w, r)
+	}
+}
+
+// breaking takes a request, at most its first part, and closes the connection.
+func breaking(runs *atomic.Int64, whole bool) http.Handler {
+	return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if whole {
+			_, _ = io.Copy(io.Discard, r.Body)
+		} else {
+			_, _ = bufio.NewReader(r.Body).ReadByte()
+		}
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+}
