--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -51,17 +51,17 @@
 	if err != nil {
 		return nil, classifier.Internal.Wrap(err, "API server")
 	}
-	callers := http.NewServeMux()
-	callers.Handle(forwarder.Prefix, forwarder.New(h, pool.New(pool.Options{}), forwarder.Options{
+	forward := forwarder.New(h, pool.New(pool.Options{}), forwarder.Options{
 		Name: s.Name, Region: s.Region, Body: s.Limits.Body, Chooser: forwarder.Simple(new(router.Router)),
-	}))
+	})
+	callers := http.NewServeMux()
 	callers.Handle("/v1/lookup/", server)
 	operators := http.NewServeMux()
 	operators.Handle("/v1/", server)
 	operators.Handle("/debug/vars", expvar.Handler())
 	return &Runner{
 		settings: s, log: log, holder: h, publisher: pub,
-		caller:   newServer(s, callers),
+		caller:   newServer(s, forward.Before(callers)),
 		operator: newServer(s, operators),
 	}, nil
 }
--- a/internal/request/forwarder/answer.go
+++ b/internal/request/forwarder/answer.go
@@ -39,9 +39,11 @@
 	hash    hash.Hash
 }
 
+// newReader returns the exchange's only reader, set to the answer of a.
 func newReader(x *exchange, a *attempt) *reader {
 	resp := a.resp
-	r := &reader{x: x, a: a, left: resp.ContentLength, resumer: resumer.New(x.r, resp)}
+	r := &x.reader
+	*r = reader{x: x, a: a, left: resp.ContentLength, resumer: resumer.New(x.r, resp)}
 	if resp.StatusCode == http.StatusOK && (resp.Header["Repr-Digest"] != nil || resp.Trailer != nil) {
 		r.hash = sha256.New()
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -47,6 +47,7 @@
 	paid    atomic.Bool // the retry that follows is taken from the budget
 	link    *pool.Link
 	resp    *http.Response
+	url     url.URL
 	closed  bool
 }
 
@@ -162,15 +163,22 @@
 		h = x.outgoing()
 	}
 	setDeadline(h, now, x.deadline)
-	out := &http.Request{
-		Method: x.r.Method,
-		URL: &url.URL{
-			Scheme: "http", Host: a.up.Address(),
-			Path: x.path, RawPath: x.raw, RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
-		},
-		Header: h, ContentLength: x.r.ContentLength,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	ctx := a.ctx
+	if !a.hedged {
+		if x.trace.Got1xxResponse == nil { // an abandoned attempt may still read it
+			x.trace.Got1xxResponse = x.inform
+		}
+		ctx = httptrace.WithClientTrace(ctx, &x.trace)
+	}
+	// The request is made with its context first, which saves a copy.
+	out := new(http.Request).WithContext(ctx)
+	out.Method, out.Header, out.ContentLength = x.r.Method, h, x.r.ContentLength
+	out.Proto, out.ProtoMajor, out.ProtoMinor = "HTTP/1.1", 1, 1
+	a.url = url.URL{
+		Scheme: "http", Host: a.up.Address(),
+		Path: x.path, RawPath: x.raw, RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
 	}
+	out.URL = &a.url
 	switch {
 	case x.buffered:
 		delete(h, "Expect") // the body is here already
@@ -183,11 +191,7 @@
 		out.Body = x.upload
 		out.Trailer = x.r.Trailer
 	}
-	ctx := a.ctx
-	if !a.hedged {
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: x.inform})
-	}
-	return out.WithContext(ctx)
+	return out
 }
 
 // inform passes an informational answer on. 100 is not passed: the server sends
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -41,8 +42,10 @@
 
 	failed, shed []*planner.Upstream
 	attempts     []Attempt
-	sent         bool  // a request of class once may have reached an upstream
-	doubt        error // of an earlier attempt that may have run
+	sent         bool   // a request of class once may have reached an upstream
+	doubt        error  // of an earlier attempt that may have run
+	reader       reader // of the answer
+	trace        httptrace.ClientTrace
 	resumed      int
 	replayed     bool
 	status       int
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// Before returns a handler that forwards requests below Prefix and leaves others
+// to next. An http.ServeMux would redirect paths such as "/s/docs/a//b".
+func (f *Forwarder) Before(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, Prefix) {
+			f.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // ServeHTTP forwards one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{f: f, w: w, r: r, start: time.Now()}
