--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -50,6 +50,7 @@
 	wg       sync.WaitGroup
 
 	mu       sync.Mutex
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	peers    map[string]*peer
 	accepted map[io.Closer]struct{}
 	closed   bool
@@ -67,6 +68,7 @@
 		security: sec, handler: handler, ctx: ctx, cancel: cancel,
 		served:   make(chan struct{}, maxServed),
 		sessions: make(chan struct{}, maxSessions),
+		dial:     new(net.Dialer).DialContext,
 		peers:    make(map[string]*peer),
 		accepted: make(map[io.Closer]struct{}),
 	}
@@ -74,6 +76,12 @@
 	return l, nil
 }
 
+// UseDial makes the Linker open connections with dial. It must be called before
+// the first Call.
+func (l *Linker) UseDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	l.dial = dial
+}
+
 func config() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.KeepAliveInterval = keepAlive
--- a/internal/connection/linker/peer.go
+++ b/internal/connection/linker/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -75,7 +74,7 @@
 func (p *peer) connect(ctx context.Context, l *Linker) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := new(net.Dialer).DialContext(ctx, "tcp", p.address)
+	raw, err := l.dial(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/controller/status.go
+++ b/internal/process/controller/status.go
@@ -38,7 +38,7 @@
 	now := time.Now()
 	for _, u := range plan.Upstreams() {
 		r := c.Gauger.Read(u, now)
-		state := api.UpstreamState{Name: u.Name(), State: r.State().String(), Flight: api.NewOptInt(c.Flight(u))}
+		state := api.UpstreamState{Name: u.Name(), State: r.State().String(), Flight: c.Flight(u)}
 		if r.Left() > 0 {
 			state.Reason = api.NewOptString(r.Sign().String())
 		}
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -57,7 +57,7 @@
 	UpstreamLeaving:  {zerolog.InfoLevel, "upstream leaving", "The upstream gets no new work; the field sign says why."},
 	ConnectionSilent: {zerolog.WarnLevel, "connection silent", "Connections to the address carried nothing while a new one works; they are closed."},
 	UpstreamDead:     {zerolog.WarnLevel, "upstream dead", "The address refused a connection or left a probe on a new one unanswered."},
-	RequestFailed:    {zerolog.WarnLevel, "request failed", "A request was answered with an error kind of ours."},
+	RequestFailed:    {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run. Refusals are counted instead."},
 	StoreFailed:      {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again."},
 	StoreRecovered:   {zerolog.InfoLevel, "store recovered", "The store answers again after failures."},
 }
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +13,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
 	"dandeliontrack.example/dandeliontrack/internal/request/admitter"
 	"dandeliontrack.example/dandeliontrack/internal/request/forwarder"
 	"dandeliontrack.example/dandeliontrack/internal/request/retrier"
@@ -40,6 +40,11 @@
 	for _, u := range q.Shed {
 		rq.Try(u)
 	}
+	if q.Steps != nil {
+		rq.Trace = func(pass router.Pass) {
+			q.Steps.Add(now, recorder.Passed, pass.Region(), pass.Upstream(), pass.Reason())
+		}
+	}
 	choice, err := b.p.router.Choose(now, &rq)
 	if err != nil {
 		return nil, err
@@ -47,6 +52,7 @@
 	if choice.Upstream() == nil {
 		return nil, classifier.Overloaded.New("no free slot in region %s", choice.Region().Name())
 	}
+	q.Steps.SetTightest(b.p.admitter.Tightest(choice.Upstream()).Name)
 	return choice.Upstream(), nil
 }
 
@@ -118,7 +124,7 @@
 	case forwarder.Answered:
 		g.OnAnswer(u, false, now)
 		b.p.retrier.OnAnswer(u.Service(), latency, now)
-	case forwarder.Broken, forwarder.Slow:
+	case forwarder.Erred, forwarder.Broken, forwarder.Slow:
 		g.OnAnswer(u, true, now)
 	case forwarder.Misplaced:
 		g.OnAnswer(u, true, now)
@@ -132,6 +138,35 @@
 	}
 }
 
+// Start implements forwarder.Recorder.
+func (b bridge) Start(id string, now time.Time) *recorder.Trace { return b.p.recorder.Start(id, now) }
+
+// Record implements forwarder.Recorder.
+func (b bridge) Record(t *forwarder.Trace) {
+	m := b.p.meter
+	now := t.Start.Add(t.Took)
+	outcome := classifier.Ran
+	if t.Err != nil {
+		kind := classifier.Of(t.Err)
+		outcome = kind.Outcome()
+		m.Refuse(kind.String())
+		// Refusals come by the thousand under overload; they are counted and
+		// kept for explain instead.
+		if outcome != classifier.NotRun {
+			b.p.log.Event(logger.RequestFailed).Str("request", t.ID).Stringer("kind", kind).Err(t.Err).Send()
+		}
+		if t.Bytes > 0 {
+			m.Add(meter.AbortedAnswers, 1)
+		}
+	}
+	if t.Service != nil {
+		m.Observe(meter.Series{Service: t.Service.Name(), Class: t.Class.String(), Customer: t.Customer}, t.Took)
+	}
+	m.Add(meter.UpstreamBytes, t.Bytes)
+	m.Add(meter.Resumes, int64(t.Resumed))
+	b.p.recorder.Done(t.Steps, now, t.Status, outcome, t.Err)
+}
+
 // claims makes the claimer available to the forwarder.
 type claims struct {
 	claimer *claimer.Claimer
@@ -217,4 +252,3 @@
 		}
 	}
 }
-
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,9 +98,10 @@
 		snapshotter: snapshotter.New(store), seen: make(map[string]sight),
 	}
 	var err error
-	if p.linker, err = linker.New(s.Peer, p.handle, linker.WithDial(n.dial)); err != nil {
+	if p.linker, err = linker.New(s.Peer, p.handle); err != nil {
 		return nil, err
 	}
+	p.linker.UseDial(n.dial)
 	p.pool = pool.New(pool.Options{Dial: n.dial, Headers: int64(s.Limits.Headers), Events: connectionEvents{p}})
 	p.publisher = publisher.New(store, p.holder)
 	self := &framer.Member{
@@ -139,18 +141,23 @@
 		Name: p.settings.Name, Region: p.settings.Region, Body: p.settings.Limits.Body,
 		Chooser: b, Gate: b, Budget: b, Observer: b, Pacer: p.pacer, Claims: claims{p.claimer, p.meter}, Recorder: b,
 	})
-	front := http.NewServeMux()
-	front.Handle(forwarder.Prefix, p.counted(forward))
-	front.Handle("/v1/lookup/", controller.WithRemote(server))
+	// Callers reach look-ups only; control is for the operators' listener.
+	lookups := http.NewServeMux()
+	lookups.Handle("/v1/lookup/", controller.WithRemote(server))
+	front := forward.Before(lookups)
 	back := http.NewServeMux()
 	back.Handle("/v1/", controller.WithRemote(server))
 	back.Handle("/debug/vars", p.meter)
-	return front, back, nil
+	return p.counted(front), back, nil
 }
 
-// counted lets requests in and out of the host's life cycle.
+// counted lets forwarded requests in and out of the host's life cycle.
 func (p *parts) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, forwarder.Prefix) {
+			next.ServeHTTP(w, r)
+			return
+		}
 		p.meter.Add(meter.Requests, 1)
 		if err := p.drainer.Begin(time.Now()); err != nil {
 			p.meter.Refuse(classifier.Of(err).String())
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
+	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -47,6 +48,7 @@
 	paid    atomic.Bool // the retry that follows is taken from the budget
 	link    *pool.Link
 	resp    *http.Response
+	url     url.URL
 	closed  bool
 }
 
@@ -107,6 +109,7 @@
 		}
 		x.sent = true
 	}
+	x.steps.Add(now, recorder.Attempt, a.up.Region(), a.up, "")
 	a.resp, err = a.link.Do(a.request(now), x.deadline, a)
 	if err != nil {
 		return a.explain(err)
@@ -162,32 +165,50 @@
 		h = x.outgoing()
 	}
 	setDeadline(h, now, x.deadline)
-	out := &http.Request{
-		Method: x.r.Method,
-		URL: &url.URL{
-			Scheme: "http", Host: a.up.Address(),
-			Path: x.path, RawPath: x.raw, RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
-		},
-		Header: h, ContentLength: x.r.ContentLength,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	ctx := a.ctx
+	if !a.hedged {
+		if x.trace.Got1xxResponse == nil { // an abandoned attempt may still read it
+			x.trace.Got1xxResponse = x.inform
+		}
+		ctx = httptrace.WithClientTrace(ctx, &x.trace)
+	}
+	// The request is made with its context first, which saves a copy.
+	out := new(http.Request).WithContext(ctx)
+	out.Method, out.Header, out.ContentLength = x.r.Method, h, x.r.ContentLength
+	out.Proto, out.ProtoMajor, out.ProtoMinor = "HTTP/1.1", 1, 1
+	a.url = url.URL{
+		Scheme: "http", Host: a.up.Address(),
+		Path: x.path, RawPath: x.raw, RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
 	}
+	out.URL = &a.url
 	switch {
 	case x.buffered:
 		delete(h, "Expect") // the body is here already
 		out.ContentLength = int64(len(x.whole))
 		if len(x.whole) > 0 {
-			out.Body = io.NopCloser(bytes.NewReader(x.whole))
+			out.Body = io.NopCloser(x.paced(ctx, a.up, bytes.NewReader(x.whole)))
 		}
 	case x.upload != nil:
-		x.upload.link = a.link
+		x.upload.start(a.link)
 		out.Body = x.upload
+		if link := x.back(a.up); link != nil {
+			out.Body = pacedBody{x.paced(ctx, a.up, x.upload), x.upload}
+		}
 		out.Trailer = x.r.Trailer
 	}
-	ctx := a.ctx
-	if !a.hedged {
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: x.inform})
-	}
-	return out.WithContext(ctx)
+	return out
+}
+
+// pacedBody is a request body that is read no faster than a link allows.
+type pacedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// paced returns a reader of the request's body at the rate of the link to the
+// upstream.
+func (x *exchange) paced(ctx context.Context, up *planner.Upstream, r io.Reader) io.Reader {
+	return x.f.options.Pacer.Reader(ctx, x.back(up), x.class, r)
 }
 
 // inform passes an informational answer on. 100 is not passed: the server sends
@@ -245,9 +266,17 @@
 		x.attempts = append(x.attempts, Attempt{a.up.Name(), a.start, now.Sub(a.start), err})
 	}
 	sight := Answered
+	if a.resp != nil && a.resp.StatusCode >= http.StatusInternalServerError {
+		sight = Erred
+	}
+	reason := "complete"
+	if err != nil {
+		reason = err.Error()
+	}
+	x.steps.Add(now, recorder.Answer, a.up.Region(), a.up, reason)
 	if err != nil {
 		why := a.cause.Load()
-		if why != nil && *why == errLost || a.ctx.Err() == context.Canceled && why == nil && x.r.Context().Err() != nil {
+		if why != nil && *why == errLost || a.ctx.Err() == context.Canceled && why == nil && x.left() {
 			return // nothing was learned about the upstream
 		}
 		var ok bool
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -5,9 +5,11 @@
 	"crypto/sha256"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -38,11 +40,14 @@
 	whole    []byte // the request body, if it was read before the first attempt
 	buffered bool   // whole is used
 	claim    Claim
+	steps    *recorder.Trace
 
 	failed, shed []*planner.Upstream
 	attempts     []Attempt
-	sent         bool  // a request of class once may have reached an upstream
-	doubt        error // of an earlier attempt that may have run
+	sent         bool   // a request of class once may have reached an upstream
+	doubt        error  // of an earlier attempt that may have run
+	reader       reader // of the answer
+	trace        httptrace.ClientTrace
 	resumed      int
 	replayed     bool
 	status       int
@@ -122,7 +127,9 @@
 	if a.paid.Load() {
 		return true
 	}
-	_, ok := x.f.options.Budget.Retry(time.Now(), x.service)
+	now := time.Now()
+	reason, ok := x.f.options.Budget.Retry(now, x.service)
+	x.steps.Add(now, recorder.Retry, nil, nil, reason)
 	return ok
 }
 
@@ -134,7 +141,13 @@
 
 // gone reports whether nobody waits for the answer. A request with a claim is
 // carried to its end all the same, so that a repeat finds the answer.
-func (x *exchange) gone() bool { return x.claim == nil && x.r.Context().Err() != nil }
+func (x *exchange) gone() bool { return x.claim == nil && x.left() }
+
+// left reports whether the caller left. The server also ends the context when a
+// read of the body times out, but then the caller is there to be told.
+func (x *exchange) left() bool {
+	return x.r.Context().Err() != nil && (x.upload == nil || !x.upload.late())
+}
 
 // context returns the parent of the contexts of all attempts.
 func (x *exchange) context() context.Context {
@@ -160,6 +173,7 @@
 		if err != nil && classifier.Of(err) != classifier.Overloaded {
 			return nil, err
 		}
+		x.steps.Add(now, recorder.Queued, nil, nil, "no free unit")
 		if err := o.Gate.Wait(x.context(), x.service, x.class, x.deadline); err != nil {
 			return nil, err
 		}
@@ -171,7 +185,7 @@
 	o := &x.f.options
 	up, err := o.Chooser.Choose(now, &Query{
 		Plan: x.plan, Service: x.service, Class: x.class, Customer: x.customer,
-		ID: x.ids[0], Deadline: x.deadline, Failed: x.failed, Shed: x.shed,
+		ID: x.ids[0], Deadline: x.deadline, Failed: x.failed, Shed: x.shed, Steps: x.steps,
 	})
 	if err != nil {
 		return nil, err
@@ -184,9 +198,11 @@
 	if rate := x.service.Minimum(); a.path != nil && x.class == planner.Download && rate > 0 {
 		if a.unreserve, ok = o.Pacer.Reserve(a.path, rate); !ok {
 			ticket.Release(now)
+			x.steps.Add(now, recorder.Passed, up.Region(), up, "the link has no rate left for another download")
 			return nil, nil
 		}
 	}
+	x.steps.Add(now, recorder.Admitted, up.Region(), up, "")
 	return a, nil
 }
 
@@ -199,24 +215,35 @@
 	return x.plan.Link(up.Region().Index(), own.Index())
 }
 
+// back returns the link that the request itself uses, or nil.
+func (x *exchange) back(up *planner.Upstream) *planner.Link {
+	own := x.plan.Region(x.f.options.Region)
+	if own == nil {
+		return nil
+	}
+	return x.plan.Link(own.Index(), up.Region().Index())
+}
+
 // end answers an error, records the request, and breaks the caller's stream if
 // it cannot be completed.
 func (x *exchange) end(err error) {
+	gone := x.left()
 	if x.upload != nil {
 		x.upload.stop()
 	}
 	x.extra.Wait()
-	gone := x.r.Context().Err() != nil
 	x.head.Lock()
 	started := x.started
 	x.started = true
 	x.head.Unlock()
 	if err != nil && !started && !gone {
 		x.status = classifier.Of(err).Status()
+		x.steps.Add(time.Now(), recorder.Refused, nil, nil, err.Error())
 		delay := time.Second
 		if x.service != nil {
 			delay = x.f.options.Gate.Delay(x.service, x.class)
 		}
+		x.closeEarly()
 		refuse(x.w, x.ids[0], err, delay)
 	}
 	x.record(err)
@@ -232,7 +259,7 @@
 	}
 	t := Trace{
 		ID: x.ids[0], Service: x.service, Class: x.class, Start: x.start, Took: time.Since(x.start),
-		Status: x.status, Bytes: x.bytes, Replayed: x.replayed, Resumed: x.resumed, Attempts: x.attempts, Err: err,
+		Status: x.status, Bytes: x.bytes, Replayed: x.replayed, Resumed: x.resumed, Attempts: x.attempts, Steps: x.steps, Err: err,
 	}
 	if x.customer != nil {
 		t.Customer = x.customer.Name()
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// Before returns a handler that forwards requests below Prefix and leaves others
+// to next. An http.ServeMux would redirect paths such as "/s/docs/a//b".
+func (f *Forwarder) Before(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, Prefix) {
+			f.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // ServeHTTP forwards one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{f: f, w: w, r: r, start: time.Now()}
@@ -87,6 +99,11 @@
 	x.ids[0] = cmp.Or(id, newID())
 	if err != nil {
 		x.ids[0] = newID()
+	}
+	if f.options.Recorder != nil {
+		x.steps = f.options.Recorder.Start(x.ids[0], x.start)
+	}
+	if err != nil {
 		return err
 	}
 	if err := f.checkCaller(r); err != nil {
@@ -110,6 +127,7 @@
 	}
 	x.customer = x.plan.Customer(customer)
 	x.class = x.service.ClassOf(r.Method, x.path)
+	x.steps.Describe(x.service, x.class, x.customer.Name(), x.plan.Version())
 	if r.Body != nil && r.Body != http.NoBody {
 		x.upload = newUpload(x.w, r, f.options.Body)
 	}
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -105,7 +106,7 @@
 	x, now := h.x, time.Now()
 	up, err := x.f.options.Chooser.Choose(now, &Query{
 		Plan: x.plan, Service: x.service, Class: x.class, Customer: x.customer,
-		ID: x.ids[0], Deadline: x.deadline, Shed: x.shed, Failed: append([]*planner.Upstream{h.first.up}, x.failed...),
+		ID: x.ids[0], Deadline: x.deadline, Shed: x.shed, Failed: append([]*planner.Upstream{h.first.up}, x.failed...), Steps: x.steps,
 	})
 	if err != nil || up == h.first.up {
 		return nil
@@ -114,6 +115,7 @@
 	if !ok {
 		return nil
 	}
+	x.steps.Add(now, recorder.Admitted, up.Region(), up, "hedge")
 	b := &attempt{x: x, up: up, ticket: ticket, start: now, hedged: true, path: x.route(up)}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/request/forwarder/interfaces.go
+++ b/internal/request/forwarder/interfaces.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"dandeliontrack.example/dandeliontrack/internal/request/router"
+	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -21,6 +21,7 @@
 	Deadline time.Time
 	Failed   []*planner.Upstream // tried by this request without an answer
 	Shed     []*planner.Upstream // refused this request; they and their regions get no retry
+	Steps    *recorder.Trace     // takes what was considered; may be nil
 }
 
 // Chooser chooses the upstream for one attempt. An error of kind Overloaded
@@ -60,6 +61,7 @@
 // The sights.
 const (
 	Answered  Sight = iota // a complete header arrived; the duration is its latency
+	Erred                  // a header arrived with a status of 500 or above
 	Broken                 // the connection failed or the answer was cut off
 	Slow                   // no answer before the deadline
 	Refused                // no connection could be opened
@@ -128,42 +130,18 @@
 	Replayed bool  // a stored answer
 	Resumed  int
 	Attempts []Attempt
+	Steps    *recorder.Trace
 	Err      error // nil for an answer that is complete
 }
 
-// Recorder receives each finished request. It must not keep the Trace.
+// Recorder receives each request. It must not keep the Trace.
 type Recorder interface {
+	// Start returns what takes the steps of a request that begins, or nil.
+	Start(id string, now time.Time) *recorder.Trace
+	// Record ends a request for which Start was called.
 	Record(t *Trace)
 }
 
-// Simple makes a Chooser of the router that knows only the operator's shares.
-func Simple(r *router.Router) Chooser { return simple{r} }
-
-type simple struct{ router *router.Router }
-
-// Choose implements Chooser. It draws again when it meets an upstream that this
-// request tried already.
-func (c simple) Choose(_ time.Time, q *Query) (u *planner.Upstream, err error) {
-	const draws = 8
-	for range draws {
-		if u, err = c.router.Choose(q.Service); err != nil || !q.tried(u) {
-			return u, err
-		}
-	}
-	return u, nil
-}
-
-func (q *Query) tried(u *planner.Upstream) bool {
-	for _, list := range [...][]*planner.Upstream{q.Failed, q.Shed} {
-		for _, t := range list {
-			if t.Name() == u.Name() {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // open is a Gate without limits, a Budget without retries, and the rest of the
 // interfaces without effect.
 type open struct{}
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -30,6 +31,7 @@
 	}
 	if stored != nil {
 		x.replayed = true
+		x.steps.Add(time.Now(), recorder.Claimed, nil, nil, "the key has a stored answer")
 		return x.replay(stored)
 	}
 	if x.gone() {
@@ -37,6 +39,7 @@
 		return errGone
 	}
 	x.claim = claim
+	x.steps.Add(time.Now(), recorder.Claimed, nil, nil, claim.ID())
 	a, err := x.fetch()
 	if err != nil {
 		if !x.sent || classifier.Of(err) == classifier.Shed {
@@ -59,7 +62,7 @@
 		b.Grow(int(min(n, x.f.options.Body)) + bytes.MinRead)
 	}
 	_, err := b.ReadFrom(x.upload)
-	if errors.Is(err, errTooLong) {
+	if long := new(http.MaxBytesError); errors.As(err, &long) {
 		return classifier.TooLarge.New("the body exceeds the bound of %d bytes", x.f.options.Body)
 	}
 	if err != nil {
