--- a/internal/process/holder/holder.go
+++ b/internal/process/holder/holder.go
@@ -66,6 +66,7 @@
 	highest atomic.Uint64
 
 	installing sync.Mutex // also orders the hooks
+	before     []func(*planner.Plan)
 	after      []func(*planner.Plan)
 
 	mu      sync.RWMutex
@@ -112,6 +113,14 @@
 	}
 }
 
+// OnPrepare registers f to run before each installation, so that a part knows a
+// plan before requests see it. f must not call Install.
+func (h *Holder) OnPrepare(f func(*planner.Plan)) {
+	h.installing.Lock()
+	defer h.installing.Unlock()
+	h.before = append(h.before, f)
+}
+
 // Install puts the plan in force, with the notes that lead to it from an
 // earlier version, if they are known. A version that is not above the one in
 // force, or below one that a peer has, is an error of kind Conflict and changes
@@ -127,6 +136,9 @@
 	}
 	h.keep(p, entries)
 	h.Observe(p.Version())
+	for _, f := range h.before {
+		f(p)
+	}
 	h.plan.Store(p)
 	for _, f := range h.after {
 		f(p)
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -73,6 +73,8 @@
 	recorder    *recorder.Recorder
 	meter       *meter.Meter
 
+	dirty chan struct{} // has a token when refreshHosts is due
+
 	mu     sync.Mutex
 	seen   map[string]sight // first sight of each ready host
 	listed []adapter.Entry  // the platform's list of hosts
@@ -95,7 +97,7 @@
 		holder: new(holder.Holder), shifter: shifter.New(now), gauger: gauger.New(now),
 		pacer: new(pacer.Pacer), admitter: admitter.New(s.Limits.Queue), retrier: retrier.New(),
 		finder: new(finder.Finder), drainer: drainer.New(), recorder: recorder.New(), meter: meter.New(),
-		snapshotter: snapshotter.New(store), seen: make(map[string]sight),
+		snapshotter: snapshotter.New(store), seen: make(map[string]sight), dirty: make(chan struct{}, 1),
 	}
 	var err error
 	if p.linker, err = linker.New(s.Peer, p.handle); err != nil {
@@ -173,7 +175,7 @@
 func (p *parts) start(ctx context.Context, g *errgroup.Group) {
 	plan := p.holder.Plan
 	for _, run := range []func(context.Context){
-		p.gossiper.Run, p.spreader.Run, p.granter.Run, p.claimer.Run, p.watchHosts, p.watchStart,
+		p.gossiper.Run, p.spreader.Run, p.granter.Run, p.claimer.Run, p.watchHosts, p.watchStart, p.refresh,
 		func(ctx context.Context) { p.weigher.Run(ctx, plan) },
 		func(ctx context.Context) { p.prober.Run(ctx, plan) },
 	} {
@@ -194,7 +196,7 @@
 	p.granter.Install(plan)
 	p.gossiper.SetVersion(plan.Version())
 	p.meter.Add(meter.Installs, 1)
-	p.refreshHosts()
+	p.touch()
 	p.log.Event(logger.VersionInstalled).Uint64("version", plan.Version()).Str("id", plan.ID()).Send()
 	if snapshotter.Due(plan.Version()) && snapshotter.Chosen(plan.Version(), p.settings.Name, p.memberNames()) {
 		go p.snapshot(plan)
@@ -212,7 +214,7 @@
 func (p *parts) meet(c drainer.Condition) {
 	if p.drainer.Meet(c) {
 		p.gossiper.SetReady(true)
-		p.refreshHosts()
+		p.touch()
 		p.log.Event(logger.HostReady).Send()
 	}
 }
--- a/internal/process/runner/peers.go
+++ b/internal/process/runner/peers.go
@@ -125,7 +125,27 @@
 	if detector.State(m.State) >= detector.Left {
 		p.shifter.Forget(m.Name)
 	}
-	p.refreshHosts()
+	p.touch()
+}
+
+// touch makes refreshHosts run soon. It can be called with locks held.
+func (p *parts) touch() {
+	select {
+	case p.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// refresh runs refreshHosts when it is due.
+func (p *parts) refresh(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.dirty:
+			p.refreshHosts()
+		}
+	}
 }
 
 // refreshHosts rebuilds what look-ups answer and who the neighbours are.
@@ -186,5 +206,5 @@
 			p.leaving(e.Name, gauger.ListSign)
 		}
 	}
-	p.refreshHosts()
+	p.touch()
 }
