--- a/internal/process/gauger/gauger.go
+++ b/internal/process/gauger/gauger.go
@@ -106,6 +106,7 @@
 	same    int
 	since   int64
 	refused bool
+	drained atomic.Bool // by an operator
 
 	state   atomic.Uint32
 	health  atomic.Int64 // time of the last health reading
@@ -147,6 +148,9 @@
 				e.warm.Store(g.at(now))
 			}
 		}
+		if e.drained.Store(u.Drained()); u.Drained() {
+			e.leave(NoteSign, g.at(now))
+		}
 		next.byName[u.Name()] = e
 		next.entries = append(next.entries, e)
 	}
@@ -205,8 +209,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.health.Store(max(e.health.Load(), g.at(at)))
-	if left := e.leaving.Load(); left != 0 && g.at(at) <= left {
-		// The reading is older than the sign.
+	if left := e.leaving.Load(); e.drained.Load() || left != 0 && g.at(at) <= left {
+		// The operator keeps the upstream out, or the reading is older than the
+		// sign.
 		return
 	}
 	if s != e.next {
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -123,6 +123,7 @@
 	p.weigher = weigher.New(p.shifter, p.gauger, store, p.gossiper, p.peers)
 	p.prober = prober.New(transport(), p.gauger, p.tellLeaving)
 	p.router = router.New(p.admitter, p.shifter, p.gauger, router.Place{Region: s.Region, Zone: s.Zone})
+	p.holder.OnPrepare(p.prepare)
 	p.holder.OnInstall(p.installed)
 	p.gossiper.OnChange(p.changed)
 	return p, nil
@@ -186,14 +187,18 @@
 	}
 }
 
-// installed puts a plan in force in all parts.
-func (p *parts) installed(plan *planner.Plan) {
+// prepare makes a plan known to the parts that decide on requests.
+func (p *parts) prepare(plan *planner.Plan) {
 	now := time.Now()
 	p.gauger.Install(plan, now)
 	p.shifter.Install(plan, now)
 	p.router.Install(plan)
 	p.retrier.Keep(plan)
 	p.granter.Install(plan)
+}
+
+// installed follows a plan that is in force.
+func (p *parts) installed(plan *planner.Plan) {
 	p.gossiper.SetVersion(plan.Version())
 	p.meter.Add(meter.Installs, 1)
 	p.touch()
