--- a/internal/process/spreader/driver.go
+++ b/internal/process/spreader/driver.go
@@ -27,6 +27,7 @@
 // store. It is safe for concurrent use.
 type Driver struct {
 	name   string
+	listen string
 	caller Caller
 	store  Refresher
 	wake   chan struct{}
@@ -36,11 +37,12 @@
 	neighbours []string
 }
 
-// NewDriver returns a Driver for the host with the name. It registers with the
+// NewDriver returns a Driver for the host with the name, whose peer listener
+// has the address listen. It registers with the
 // holder, so that versions installed by others are announced at once.
-func NewDriver(name string, h *holder.Holder, caller Caller, store Refresher, rng *rand.Rand) *Driver {
+func NewDriver(name, listen string, h *holder.Holder, caller Caller, store Refresher, rng *rand.Rand) *Driver {
 	d := &Driver{
-		name: name, caller: caller, store: store,
+		name: name, listen: listen, caller: caller, store: store,
 		wake:    make(chan struct{}, 1),
 		machine: New(h, rng, time.Now()),
 	}
@@ -77,8 +79,9 @@
 	defer d.mu.Unlock()
 	reply, err := d.machine.Handle(time.Now(), e)
 	if reply != nil {
-		reply.From = d.name
+		reply.From, reply.Address = d.name, d.listen
 	}
+	d.wakeUp()
 	return reply, err
 }
 
@@ -119,7 +122,7 @@
 		d.wakeUp()
 		return
 	}
-	a.Request.From = d.name
+	a.Request.From, a.Request.Address = d.name, d.listen
 	reply, err := d.caller.Call(ctx, a.To, a.Request)
 	d.mu.Lock()
 	actions := d.machine.Answered(time.Now(), a, reply, err)
@@ -134,7 +137,7 @@
 	d.mu.Lock()
 	neighbours := d.neighbours
 	d.mu.Unlock()
-	request := &framer.Envelope{From: d.name, Body: &framer.Envelope_Pull{Pull: &framer.Pull{Version: version, Chain: chain[:], One: true}}}
+	request := &framer.Envelope{From: d.name, Address: d.listen, Body: &framer.Envelope_Pull{Pull: &framer.Pull{Version: version, Chain: chain[:], One: true}}}
 	for _, address := range neighbours {
 		reply, err := d.caller.Call(ctx, address, request)
 		if err != nil || reply.GetNotes() == nil {
--- a/internal/process/spreader/exchange.go
+++ b/internal/process/spreader/exchange.go
@@ -50,17 +50,27 @@
 
 // Handle answers a neighbour's message. The answer to a digest or to notes is
 // the digest of this host, from which the other side sees what is missing.
-func (s *Spreader) Handle(_ time.Time, e *framer.Envelope) (*framer.Envelope, error) {
+// Tick is due afterwards.
+func (s *Spreader) Handle(now time.Time, e *framer.Envelope) (*framer.Envelope, error) {
+	v := s.views[e.GetAddress()]
+	if v == nil {
+		// A host that isn't a neighbour is answered all the same.
+		v = new(view)
+	}
 	switch {
 	case e.GetDigest() != nil:
-		s.holder.Observe(e.GetDigest().GetVersion())
+		s.hear(now, v, e.GetDigest())
+		if e.GetDigest().GetVersion() > s.base().Version() && s.nextPull.IsZero() {
+			s.nextPull = now.Add(pushWait)
+		}
 		return s.digest(), nil
 	case e.GetNotes() != nil:
 		list, err := parse(e.GetNotes())
 		if err != nil {
 			return nil, err
 		}
-		s.holder.Observe(list[len(list)-1].Version)
+		last := list[len(list)-1]
+		s.hear(now, v, &framer.Digest{Version: last.Version, Chain: last.Chain[:]})
 		if !s.collecting {
 			if err := s.apply(list); err != nil {
 				return nil, err
--- a/internal/process/spreader/spreader.go
+++ b/internal/process/spreader/spreader.go
@@ -27,6 +27,9 @@
 	badTime = 2 * time.Second
 	// viewTime is how long the last word of a neighbour is believed.
 	viewTime = 10 * time.Second
+	// pushWait is how long a host that hears of a newer version waits for the
+	// push that follows before it pulls.
+	pushWait = 250 * time.Millisecond
 	// maxBusy bounds the exchanges in flight with one neighbour.
 	maxBusy = 2
 	// maxPush bounds the notes that are sent before it is known that the
