--- a/internal/request/router/pick.go
+++ b/internal/request/router/pick.go
@@ -12,6 +12,11 @@
 	// read in order.
 	draws = 8
 
+	// scan bounds how much of the list is read. Under overload most upstreams
+	// are full, and reading 345 of them for each request would cost more than
+	// the 2 µs of the target. A request that misses a free slot waits.
+	scan = 64
+
 	// zoneMargin is how much higher the score of the best upstream drawn from
 	// the own zone may be than that of one in another zone. With two units at
 	// an upstream, one request in flight is half of them.
@@ -109,7 +114,11 @@
 		return first, 0, false
 	}
 	for range draws {
-		found, lacks := r.examine(now, q, ups[rng.below(n)], rng)
+		u := ups[rng.below(n)]
+		if full && r.skips(q, u) {
+			continue
+		}
+		found, lacks := r.examine(now, q, u, rng)
 		full = full || lacks
 		if found.upstream == nil {
 			continue
@@ -128,18 +137,36 @@
 		c, score = better(first, candidate{})
 		return c, score, full
 	}
+	return r.search(now, q, ups, rng, full)
+}
+
+// search returns the first candidate found in order from a random place. It
+// continues what pair found out about full upstreams.
+func (r *Router) search(now time.Time, q *Query, ups []*planner.Upstream, rng *stream, full bool) (candidate, float64, bool) {
+	n := len(ups)
 	start := rng.below(n)
-	for i := range n {
-		found, lacks := r.examine(now, q, ups[(start+i)%n], rng)
+	for i := range min(n, scan) {
+		u := ups[(start+i)%n]
+		if full && r.skips(q, u) {
+			continue
+		}
+		found, lacks := r.examine(now, q, u, rng)
 		full = full || lacks
 		if found.upstream != nil {
-			c, score = better(found, candidate{})
+			c, score := better(found, candidate{})
 			return c, score, full
 		}
 	}
 	return candidate{}, 0, full
 }
 
+// skips reports whether the upstream need not be examined once the region is
+// known to have a full one: the health of one more full upstream changes
+// nothing.
+func (r *Router) skips(q *Query, u *planner.Upstream) bool {
+	return q.Trace == nil && r.capacity != nil && r.capacity.Free(u) <= 0
+}
+
 // examine returns the upstream as a candidate if it can take the request now;
 // otherwise lacks says that only a free slot is missing.
 func (r *Router) examine(now time.Time, q *Query, u *planner.Upstream, rng *stream) (c candidate, lacks bool) {
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -227,11 +227,20 @@
 	wg.Wait()
 }
 
+// same gives every upstream the same free and used units.
+type same [2]int
+
+func (c same) Free(*planner.Upstream) int   { return c[0] }
+func (c same) Flight(*planner.Upstream) int { return c[1] }
+
 func BenchmarkChoose(b *testing.B) {
-	for name, size := range map[string][2]int{"today": {3, 14}, "target": {58, 345}} {
+	for name, c := range map[string]struct {
+		regions, n int
+		capacity   same
+	}{"today": {3, 14, same{1, 1}}, "target": {58, 345, same{1, 1}}, "target, all full": {58, 345, same{0, 2}}} {
 		b.Run(name, func(b *testing.B) {
-			p := plan(b, size[0], size[1])
-			r, g, _ := build(p, units{})
+			p := plan(b, c.regions, c.n)
+			r, g, _ := build(p, c.capacity)
 			for i, u := range p.Upstreams() {
 				g.OnLoad(u.Name(), i%9, now)
 				g.OnAnswer(u, i%7 == 0, now)
