--- a/internal/request/forwarder/rig_test.go
+++ b/internal/request/forwarder/rig_test.go
@@ -153,9 +153,9 @@
 func (g *rig) Delay(*planner.Service, planner.Class) time.Duration { return 1500 * time.Millisecond }
 func (g *rig) Count(time.Time, *planner.Service)                   {}
 func (g *rig) Hedge(*planner.Service) time.Duration                { return g.hedge }
-func (g *rig) Start(string, time.Time) *recorder.Trace { return nil }
+func (g *rig) Start(string, time.Time) *recorder.Trace             { return nil }
 
-func (g *rig) Record(t *Trace)                                     { g.traces <- *t }
+func (g *rig) Record(t *Trace) { g.traces <- *t }
 func (g *rig) Retry(time.Time, *planner.Service) (string, bool) {
 	return "empty", g.retries.Add(-1) >= 0
 }
