Let the runner take dial and listen functions; let the host list lag

The stand-in deployment has to put delays between hosts and upstreams and to open its listeners on free ports first. Both are options of runner.New, with net.Dialer and net.Listen as defaults.

--- a/internal/process/platformer/platformer.go
+++ b/internal/process/platformer/platformer.go
@@ -1,10 +1,12 @@
 // Package platformer is a stand-in for the platform: a transactional table
 // service, an object store and a list of hosts, in memory and over HTTP. Its
-// faults are set while it runs: an outage, slow answers, and answers that are
-// lost after their write took effect.
+// faults are set while it runs, by methods or by PUT /faults: an outage, slow
+// answers, answers that are lost after their write took effect, and a list of
+// hosts that lags.
 package platformer
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,6 +17,14 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+)
+
+const (
+	// maxBody bounds a row or an object in bytes.
+	maxBody = 64 << 20
+	// maxListed bounds the remembered lists of hosts.
+	maxListed = 1024
 )
 
 // Platformer is an http.Handler. The zero Platformer is empty, has no faults
@@ -23,14 +33,45 @@
 	mu      sync.Mutex
 	rows    map[string]adapter.Row
 	objects map[string][]byte
-	hosts   []adapter.Entry
 	next    uint64
 	reads   uint64
 	writes  uint64
 
-	down  bool
-	lose  int
-	delay time.Duration
+	faults Faults
+	listed []listing
+}
+
+// Faults is what is wrong with a Platformer. The zero Faults is a platform in
+// order.
+type Faults struct {
+	// Down answers every request with status 503 and no effect.
+	Down bool `json:"down,omitempty"`
+	// Delay is the time that every request takes before its effect.
+	Delay noter.Duration `json:"delay,omitempty"`
+	// Lose is how many of the next writes take effect and lose their answers.
+	Lose int `json:"lose,omitempty"`
+	// Lag is how old the list of hosts is.
+	Lag noter.Duration `json:"lag,omitempty"`
+}
+
+// listing is the list of hosts from a time on.
+type listing struct {
+	at    time.Time
+	hosts []adapter.Entry
+}
+
+// Faults returns the faults that are set. Lose is what is left of it.
+func (p *Platformer) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// SetFaults replaces all faults.
+func (p *Platformer) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
 }
 
 // SetDown starts or ends an outage, in which every request is answered with
@@ -38,28 +79,45 @@
 func (p *Platformer) SetDown(down bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.down = down
+	p.faults.Down = down
 }
 
 // SetDelay sets the time that every request takes before its effect.
 func (p *Platformer) SetDelay(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.delay = d
+	p.faults.Delay = noter.Duration(d)
 }
 
 // LoseAnswers makes the next n writes take effect and lose their answers.
 func (p *Platformer) LoseAnswers(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lose = n
+	p.faults.Lose = n
 }
 
 // SetHosts replaces the list of hosts.
 func (p *Platformer) SetHosts(entries []adapter.Entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.hosts = slices.Clone(entries)
+	if len(p.listed) == maxListed {
+		p.listed = slices.Delete(p.listed, 1, 2)
+	}
+	p.listed = append(p.listed, listing{time.Now(), slices.Clone(entries)})
+}
+
+// hosts returns the list that is as old as the lag. The caller holds the lock.
+func (p *Platformer) hosts() []adapter.Entry {
+	entries := []adapter.Entry{}
+	edge := time.Now().Add(-time.Duration(p.faults.Lag))
+	for i, l := range p.listed {
+		// The first list counts from the beginning.
+		if i > 0 && l.at.After(edge) {
+			break
+		}
+		entries = l.hosts
+	}
+	return entries
 }
 
 // Reads returns how many reads were served.
@@ -78,12 +136,16 @@
 
 // ServeHTTP serves /table, /objects and /hosts.
 func (p *Platformer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		return
 	}
+	if r.URL.Path == "/faults" {
+		p.serveFaults(w, r, body)
+		return
+	}
 	p.mu.Lock()
-	delay := p.delay
+	delay := time.Duration(p.faults.Delay)
 	p.mu.Unlock()
 	if delay > 0 {
 		select {
@@ -94,14 +156,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.down {
+	if p.faults.Down {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
 	before := p.writes
 	p.serve(w, r, body)
-	if p.writes > before && p.lose > 0 {
-		p.lose--
+	if p.writes > before && p.faults.Lose > 0 {
+		p.faults.Lose--
 		panic(http.ErrAbortHandler)
 	}
 	if p.writes == before {
@@ -120,12 +182,26 @@
 	case strings.HasPrefix(path, "/objects/"):
 		p.serveObject(w, r, strings.TrimPrefix(path, "/objects/"), body)
 	case path == "/hosts":
-		answer(w, append([]adapter.Entry{}, p.hosts...))
+		answer(w, p.hosts())
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+func (p *Platformer) serveFaults(w http.ResponseWriter, r *http.Request, body []byte) {
+	if r.Method == http.MethodPut {
+		var f Faults
+		dec := json.NewDecoder(bytes.NewReader(body))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.SetFaults(f)
+	}
+	answer(w, p.Faults())
+}
+
 func answer(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	// An error here means that the client is gone.
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -35,12 +35,39 @@
 	publisher *publisher.Publisher
 	caller    *http.Server
 	operator  *http.Server
+	network   network
+}
+
+// network opens the sockets of a host.
+type network struct {
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	listen func(network, address string) (net.Listener, error)
+}
+
+// An Option changes how a host reaches the network.
+type Option func(*network)
+
+// WithDial makes the host open every connection with dial instead of a
+// net.Dialer.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(n *network) { n.dial = dial }
+}
+
+// WithListen makes the host open every listener with listen instead of
+// net.Listen.
+func WithListen(listen func(network, address string) (net.Listener, error)) Option {
+	return func(n *network) { n.listen = listen }
 }
 
 // New builds a host without opening a socket.
-func New(s *settler.Settings, log logger.Logger) (*Runner, error) {
+func New(s *settler.Settings, log logger.Logger, options ...Option) (*Runner, error) {
+	n := network{dial: new(net.Dialer).DialContext, listen: net.Listen}
+	for _, o := range options {
+		o(&n)
+	}
 	p := s.Platform
-	store := adapter.New(p.Table, p.Objects, p.Hosts, time.Duration(p.Timeout), nil)
+	transport := &http.Transport{DialContext: n.dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	store := adapter.New(p.Table, p.Objects, p.Hosts, time.Duration(p.Timeout), transport)
 	h := new(holder.Holder)
 	h.OnInstall(func(plan *planner.Plan) {
 		log.Event(logger.VersionInstalled).Uint64("version", plan.Version()).Str("id", plan.ID()).Send()
@@ -51,13 +78,13 @@
 		return nil, classifier.Internal.Wrap(err, "API server")
 	}
 	callers := http.NewServeMux()
-	callers.Handle(forwarder.Prefix, forwarder.New(h, new(router.Router)))
+	callers.Handle(forwarder.Prefix, forwarder.New(h, new(router.Router), n.dial))
 	callers.Handle("/v1/lookup/", server)
 	operators := http.NewServeMux()
 	operators.Handle("/v1/", server)
 	operators.Handle("/debug/vars", expvar.Handler())
 	return &Runner{
-		settings: s, log: log, holder: h, publisher: pub,
+		settings: s, log: log, holder: h, publisher: pub, network: n,
 		caller:   newServer(s, callers),
 		operator: newServer(s, operators),
 	}, nil
@@ -82,7 +109,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	servers := map[*http.Server]settler.Listener{r.caller: r.settings.Caller, r.operator: r.settings.Operator}
 	for server, l := range servers {
-		listener, err := net.Listen("tcp", l.Listen)
+		listener, err := r.network.listen("tcp", l.Listen)
 		if err != nil {
 			r.log.Event(logger.ListenFailed).Err(err).Send()
 			return classifier.Invalid.Wrap(err, "listen")
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,9 +30,13 @@
 	transport http.RoundTripper
 }
 
-// New returns a Forwarder that reads the plan in force from the holder.
-func New(h *holder.Holder, r *router.Router) *Forwarder {
-	return &Forwarder{holder: h, router: r, transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
+// DialFunc opens a connection, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// New returns a Forwarder that reads the plan in force from the holder and
+// opens connections with dial. A nil dial means a net.Dialer.
+func New(h *holder.Holder, r *router.Router, dial DialFunc) *Forwarder {
+	return &Forwarder{holder: h, router: r, transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, DisableCompression: true}}
 }
 
 // ServeHTTP forwards one request.
