Free a worker's slot before the last byte of its answer

A host may use a slot again as soon as it has the whole answer. The stand-in freed it after its handler had written everything, so that it could count one request too many and shed for no reason.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -112,7 +112,7 @@
 		c.Answered(checker.Answered{At: at(14), ID: "p", Status: 503, Outcome: "not-run", Echo: "p"})
 		c.Ran(checker.Ran{At: at(15), Upstream: "u3", ID: "p"})
 	}},
-	"key ran twice": {checker.Once, "desk/k", func(c *checker.Checker) {
+	"key ran twice": {checker.Once, "desk//k", func(c *checker.Checker) {
 		c.Sent(checker.Sent{At: at(14), ID: "p", Service: "desk", Key: "k", Once: true})
 		c.Ran(checker.Ran{At: at(14), Upstream: "u4", ID: "p", Key: "k"})
 		c.Answered(checker.Answered{At: at(14), ID: "p", Status: 200, Echo: "p"})
--- a/internal/checker/request.go
+++ b/internal/checker/request.go
@@ -6,11 +6,12 @@
 // An id is used for one request; a caller that repeats a request with the same
 // Key uses a new id.
 type Sent struct {
-	At      time.Time
-	ID      string
-	Service string
-	Key     string
-	Once    bool
+	At       time.Time
+	ID       string
+	Service  string
+	Customer string
+	Key      string
+	Once     bool
 }
 
 // Answered is the end of a request as its caller saw it.
@@ -45,7 +46,7 @@
 	answered bool
 	refused  bool
 	once     bool
-	service  string
+	scope    string
 	key      string
 	runs     []string
 }
@@ -65,7 +66,7 @@
 	if r.sent {
 		c.breach(Complete, s.At, "request id %s was used twice: the run can't be checked", s.ID)
 	}
-	r.at, r.sent, r.once, r.service, r.key = s.At, true, s.Once, s.Service, s.Key
+	r.at, r.sent, r.once, r.scope, r.key = s.At, true, s.Once, s.Service+"/"+s.Customer, s.Key
 }
 
 // notRun is the outcome of a refusal that promises that nothing ran.
@@ -115,7 +116,7 @@
 	}
 	switch {
 	case key != "":
-		key = r.service + "/" + key
+		key = r.scope + "/" + key
 		if first, ok := c.keys[key]; ok {
 			c.breach(Once, n.At, "idempotency key %s ran at %s and again at %s", key, first, n.Upstream)
 			return
--- a/internal/process/worker/content.go
+++ b/internal/process/worker/content.go
@@ -103,7 +103,7 @@
 // answer sends the body. GET and HEAD answers depend on the path and the size.
 // Other answers also depend on the request and the time of the run, so that a
 // second run shows in the body.
-func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, f Faults) {
+func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, f Faults, v *visit) {
 	query := r.URL.Query()
 	c := content{seed: xxhash.Sum64String(r.URL.Path), size: number(query.Get("size"), w.settings.Size)}
 	repeatable := r.Method == http.MethodGet || r.Method == http.MethodHead
@@ -120,7 +120,7 @@
 	if repeatable {
 		head.Set("ETag", strconv.Quote(sum[:32]))
 	}
-	s := &sender{reader: newReader(c), worker: w, request: r, left: -1}
+	s := &sender{reader: newReader(c), worker: w, visit: v, request: r, left: -1}
 	if f.Short > 0 {
 		s.left = f.Short
 	}
@@ -147,6 +147,7 @@
 type sender struct {
 	*reader
 	worker  *Worker
+	visit   *visit
 	request *http.Request
 	limiter *rate.Limiter
 	left    int64
@@ -171,6 +172,9 @@
 	if s.left > 0 {
 		s.left -= int64(n)
 	}
+	if s.offset == s.size || s.left == 0 {
+		s.visit.leave()
+	}
 	s.worker.count(func(c *Counts) { c.Bytes += int64(n) })
 	return n, err
 }
--- a/internal/process/worker/worker.go
+++ b/internal/process/worker/worker.go
@@ -18,6 +18,8 @@
 )
 
 // Settings describe one Worker.
+//
+// A queue of zero length means that requests above the slots are shed.
 type Settings struct {
 	Name string `json:"name"`
 	// Slots is how many requests run at once, Queue how many more wait.
@@ -65,7 +67,9 @@
 	counts  Counts
 	runs    map[string]int
 	older   map[string]int
+	present int
 	observe func(Run)
+	flight  func(delta int)
 	digests map[content]string
 
 	connections uint64
@@ -74,8 +78,10 @@
 
 // Counts is what a Worker counted since it was made.
 type Counts struct {
-	// Peak is the largest number of requests that ran at once.
-	Peak int `json:"peak"`
+	// Peak is the largest number of requests that ran at once, Offered the
+	// largest number that were there at once: running, waiting or to be shed.
+	Peak    int `json:"peak"`
+	Offered int `json:"offered"`
 	// Ran counts requests that began to run, Shed those refused for want of
 	// room, Expired those refused because their deadline had passed, and
 	// Cancelled those whose caller left while they ran.
@@ -136,6 +142,10 @@
 // before the Worker serves.
 func (w *Worker) OnRun(f func(Run)) { w.observe = f }
 
+// OnFlight registers f to be called with 1 when a request arrives and with -1
+// when it ends. Set it before the Worker serves.
+func (w *Worker) OnFlight(f func(delta int)) { w.flight = f }
+
 // Counts returns what was counted so far.
 func (w *Worker) Counts() Counts {
 	w.mu.Lock()
@@ -227,13 +237,52 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	v := w.arrive()
+	defer v.leave()
 	if f.Shed || !w.enter(ctx) {
 		w.count(func(c *Counts) { c.Shed++ })
+		v.leave()
 		refuse(rw, http.StatusServiceUnavailable, "not-run", "no room")
 		return
 	}
-	defer w.leave()
-	w.run(ctx, rw, r, w.begin(r))
+	v.slot = true
+	w.run(ctx, rw, r, v, w.begin(r))
+}
+
+// visit is one request that is in flight at a Worker.
+type visit struct {
+	worker *Worker
+	slot   bool
+	once   sync.Once
+}
+
+func (w *Worker) arrive() *visit {
+	w.mu.Lock()
+	w.present++
+	w.counts.Offered = max(w.counts.Offered, w.present)
+	w.mu.Unlock()
+	if w.flight != nil {
+		w.flight(1)
+	}
+	return &visit{worker: w}
+}
+
+// leave ends the visit. It has to be called before the last byte of the answer
+// is sent, since the caller may use the slot for another request from then on.
+func (v *visit) leave() {
+	v.once.Do(func() {
+		w := v.worker
+		if w.flight != nil {
+			w.flight(-1)
+		}
+		if v.slot {
+			<-w.slots
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.present--
+		w.record()
+	})
 }
 
 // enter takes a slot, waiting in the queue, and reports whether it got one.
@@ -271,13 +320,6 @@
 	return false
 }
 
-func (w *Worker) leave() {
-	<-w.slots
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.record()
-}
-
 func (w *Worker) count(f func(*Counts)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -340,9 +382,10 @@
 	return time.Duration(float64(w.settings.Time) * factor)
 }
 
-func (w *Worker) run(ctx context.Context, rw http.ResponseWriter, r *http.Request, serviceTime time.Duration) {
+func (w *Worker) run(ctx context.Context, rw http.ResponseWriter, r *http.Request, v *visit, serviceTime time.Duration) {
 	f := w.Faults()
 	if f.Fail {
+		v.leave()
 		refuse(rw, http.StatusInternalServerError, "ran", "failed")
 		return
 	}
@@ -350,6 +393,7 @@
 		if r.Context().Err() != nil {
 			w.count(func(c *Counts) { c.Cancelled++ })
 		}
+		v.leave()
 		refuse(rw, http.StatusGatewayTimeout, "may-have-run", "the deadline passed while the request ran")
 		return
 	}
@@ -365,7 +409,7 @@
 	if f.Crossed {
 		rw.Header().Set("Request-Id", "another-"+r.Header.Get("Request-Id"))
 	}
-	w.answer(rw, r, f)
+	w.answer(rw, r, f, v)
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
