Name the line, the field and the remedy in every JSON error

Errors of encoding/json give a byte offset at most and leave out the field of a wrong duration or prefix.

--- a/internal/process/settler/settler.go
+++ b/internal/process/settler/settler.go
@@ -3,8 +3,6 @@
 package settler
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
@@ -14,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/parser"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -114,14 +113,9 @@
 	if err != nil {
 		return nil, classifier.Invalid.Wrap(err, "read settings")
 	}
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
 	s := new(Settings)
-	if err := dec.Decode(s); err != nil {
-		return nil, classifier.Invalid.Wrap(err, fmt.Sprintf("settings, near byte %d", dec.InputOffset()))
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return nil, classifier.Invalid.New("settings: unexpected data after byte %d: keep one JSON object in a file", dec.InputOffset())
+	if err := parser.Parse(raw, s); err != nil {
+		return nil, classifier.Invalid.Wrap(err, "settings")
 	}
 	s.fill()
 	return s, s.Check()
@@ -147,9 +141,9 @@
 
 // Check reports the first setting that is wrong, as an error of kind Invalid.
 func (s *Settings) Check() error {
-	for field, value := range map[string]string{"name": s.Name, "region": s.Region, "zone": s.Zone} {
-		if value == "" {
-			return invalid("field %q is empty: name the host, its region and its availability zone", field)
+	for _, f := range []struct{ field, value string }{{"name", s.Name}, {"region", s.Region}, {"zone", s.Zone}} {
+		if f.value == "" {
+			return invalid("field %q is empty: name the host, its region and its availability zone", f.field)
 		}
 	}
 	for _, f := range []func() error{s.checkAddresses, s.checkTLS, s.checkPlatform, s.checkLimits} {
--- a/internal/version/noter/noter.go
+++ b/internal/version/noter/noter.go
@@ -3,13 +3,13 @@
 package noter
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/parser"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -154,14 +154,9 @@
 	if len(raw) > MaxSize {
 		return nil, classifier.TooLarge.New("release note is larger than %d bytes: split it", MaxSize)
 	}
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
 	n := new(Note)
-	if err := dec.Decode(n); err != nil {
-		return nil, classifier.Invalid.Wrap(err, fmt.Sprintf("release note, near byte %d", dec.InputOffset()))
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return nil, classifier.Invalid.New("release note: unexpected data after byte %d: keep one JSON object in a file", dec.InputOffset())
+	if err := parser.Parse(raw, n); err != nil {
+		return nil, classifier.Invalid.Wrap(err, "release note")
 	}
 	if n.ID == "" {
 		return nil, classifier.Invalid.New("release note: field \"id\" is empty: give the note a unique name")
