--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -42,6 +42,15 @@
 	return p.Service(service).Upstreams()[0]
 }
 
+func stopped(stop <-chan struct{}) bool {
+	select {
+	case <-stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // Guards against more requests in flight than units while many goroutines take
 // units and the rights shrink and grow. Once Used has said that all fits into
 // fewer shares, those may go to another host, so the count must stay below.
@@ -56,24 +65,22 @@
 	var bound, flight, over, granted atomic.Int64
 	bound.Store(1 << 30)
 	var wg sync.WaitGroup
+	take := func(up *planner.Upstream) {
+		ticket, ok := a.Try(time.Now(), up, planner.Lookup, until.Add(-time.Minute))
+		if !ok {
+			return
+		}
+		granted.Add(1)
+		if flight.Add(1) > bound.Load() {
+			over.Add(1)
+		}
+		flight.Add(-1)
+		ticket.Release()
+	}
 	for g := range 8 {
 		wg.Go(func() {
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				ticket, ok := a.Try(time.Now(), u[(i+g)%len(u)], planner.Lookup, until.Add(-time.Minute))
-				if !ok {
-					continue
-				}
-				granted.Add(1)
-				if flight.Add(1) > bound.Load() {
-					over.Add(1)
-				}
-				flight.Add(-1)
-				ticket.Release()
+			for i := 0; !stopped(stop); i++ {
+				take(u[(i+g)%len(u)])
 			}
 		})
 	}
