Publish with progress, and show status, explanations and drains

Cause: an operator needs to see when a note is in force, why a request was steered, and to take something out of work with one command. Change: publish waits for every live host; status, explain and drain; a second signal ends a graceful stop.

--- a/cmd/dandeliontrack/commands.go
+++ b/cmd/dandeliontrack/commands.go
@@ -30,6 +30,9 @@
 	{"serve", "run one host", "Runs an entry host with the settings in a file until SIGTERM or SIGINT, then stops gracefully.", new(serveCommand)},
 	{"check", "check settings and release notes", "Checks settings or release notes without running anything.", new(checkCommand)},
 	{"publish", "put a release note into effect", "Publishes a release note through a host's operator address.", new(publishCommand)},
+	{"status", "show the state of a host", "Shows the state of a host, the hosts it knows, the limits, the shifts and the upstreams, with what needs attention.", new(statusCommand)},
+	{"explain", "show why a request was steered as it was", "Shows the decisions and attempts of one recent request on the host that served it.", new(explainCommand)},
+	{"drain", "take something out of new work", "Takes a host, an upstream or a region out of new work on every host, or puts it back. Work in flight goes on.", new(drainCommand)},
 	{"lookup", "ask which hosts to use", "Asks a host which entry hosts a caller uses for a service.", new(lookupCommand)},
 	{"stand-in", "run a stand-in of the platform and of upstreams", "Runs the fakes of the platform and of upstreams that a file describes.", new(standInCommand)},
 }
@@ -54,9 +57,19 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go abortOnSecond(ctx, r)
 	return r.Run(ctx)
 }
 
+// abortOnSecond ends a graceful stop at the second signal.
+func abortOnSecond(ctx context.Context, r *runner.Runner) {
+	<-ctx.Done()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGTERM, syscall.SIGINT)
+	<-again
+	r.Abort()
+}
+
 type checkCommand struct {
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
@@ -97,50 +110,6 @@
 	return plan.Apply(n)
 }
 
-type publishCommand struct {
-	To   string `long:"to" required:"true" description:"operator address of a host" value-name:"ADDR"`
-	JSON bool   `long:"json" description:"print the result as JSON"`
-	Args struct {
-		Note string `positional-arg-name:"NOTE" required:"1"`
-	} `positional-args:"yes"`
-}
-
-// Execute publishes the note.
-func (c *publishCommand) Execute([]string) error {
-	raw, err := os.ReadFile(c.Args.Note)
-	if err != nil {
-		return classifier.Invalid.Wrap(err, "publish")
-	}
-	if _, err := noter.Read(bytes.NewReader(raw)); err != nil {
-		return classifier.Of(err).Wrap(err, c.Args.Note)
-	}
-	var note api.Note
-	if err := json.Unmarshal(raw, &note); err != nil {
-		return classifier.Invalid.Wrap(err, c.Args.Note)
-	}
-	client, err := api.NewClient("http://" + c.To)
-	if err != nil {
-		return classifier.BadRequest.Wrap(err, c.To)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
-	p, err := client.Publish(ctx, note)
-	if err != nil {
-		return remote(err)
-	}
-	fmt.Printf("%s: accepted as version %d\n", p.ID, p.Version)
-	return nil
-}
-
-// remote gives an error that a host answered with the kind that it names.
-func remote(err error) error {
-	if refusal, ok := err.(*api.RefusalStatusCode); ok {
-		kind, _ := classifier.Parse(refusal.Response.Kind)
-		return kind.New("%s", refusal.Response.Message)
-	}
-	return classifier.Unreachable.Wrap(err, "host")
-}
-
 type lookupCommand struct {
 	To     string `long:"to" required:"true" description:"caller address of a host" value-name:"ADDR"`
 	Client string `long:"client" description:"IP address of the client" value-name:"IP"`
