Test streaming both ways and the end of suspected connections

Making room for a dial by closing an idle connection had no effect and is removed: a failed check already frees one.

--- a/internal/connection/pool/group.go
+++ b/internal/connection/pool/group.go
@@ -92,15 +92,7 @@
 	w := &waiter{ready: make(chan offer, 1)}
 	g.waiters.push(w)
 	g.spawn()
-	var evicted *Link
-	if g.open >= g.limit && g.dialing == 0 {
-		// Only idle connections under suspicion are left; one makes room.
-		evicted, _ = g.idle.oldest()
-	}
 	g.mu.Unlock()
-	if evicted != nil {
-		evicted.Close()
-	}
 	select {
 	case o := <-w.ready:
 		return o.link, o.err
--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -177,15 +177,58 @@
 	})
 }
 
+// Guards against an answer that waits for the end of the request body, and
+// against a caller's connection that is used again although the rest of a body
+// was not read.
+func TestAnswerDuringBody(t *testing.T) {
+	g := wired(t, echo(func(w http.ResponseWriter, r *http.Request) {
+		c := http.NewResponseController(w)
+		assert.Check(t, c.EnableFullDuplex() == nil)
+		if r.URL.Path == "/deny" {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		buf := make([]byte, 1)
+		for n, err := r.Body.Read(buf); n > 0 && err == nil; n, err = r.Body.Read(buf) {
+			_, _ = w.Write(buf)
+			_ = c.Flush()
+		}
+	}))
+	for path, status := range map[string]int{"/s/docs/echo": 200, "/s/docs/deny": 403} {
+		from, to := io.Pipe()
+		r := g.request(t, http.MethodPost, path, "")
+		r.Body, r.ContentLength = from, -1
+		go func() { _, _ = to.Write([]byte("a")) }()
+		resp, err := g.client.Do(r)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, status)
+		assert.Assert(t, resp.Close)
+		buf := make([]byte, 1)
+		for _, s := range []string{"a", "b"} {
+			if status != http.StatusOK {
+				break
+			}
+			_, err := io.ReadFull(resp.Body, buf)
+			assert.NilError(t, err)
+			assert.Equal(t, string(buf), s)
+			_, _ = to.Write([]byte("b"))
+		}
+		_ = to.Close()
+		_ = resp.Body.Close()
+	}
+}
+
 // Guards against a look-up that waits at a silent connection until its
 // deadline, and against a request that must not be repeated being cut off
 // because its upstream is slow.
 func TestSilentOrSlow(t *testing.T) {
 	for name, c := range map[string]struct {
-		method, path, want string
+		method, want string
+		open         int // connections: that of the probe, and the one that answered if it is not under suspicion
 	}{
-		"look-up moves": {http.MethodGet, "/s/prices/x", "second"},
-		"order waits":   {http.MethodPost, "/s/prices/x", "first"},
+		"look-up moves": {http.MethodGet, "second", 2},
+		"order waits":   {http.MethodPost, "first", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -197,9 +240,11 @@
 					_, _ = io.WriteString(w, "first")
 				}), echo(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "second") }))
 				g.retries.Store(1)
-				_, body, err := g.do(t, g.request(t, c.method, c.path, ""))
+				_, body, err := g.do(t, g.request(t, c.method, "/s/prices/x", ""))
 				assert.NilError(t, err)
 				assert.Equal(t, body, c.want)
+				<-g.traces
+				assert.Equal(t, g.pool.Counts().Open, c.open)
 			})
 		})
 	}
