--- a/internal/request/forwarder/body.go
+++ b/internal/request/forwarder/body.go
@@ -25,7 +25,7 @@
 	body    io.ReadCloser
 	control *http.ResponseController
 	link    *pool.Link
-	started bool        // full duplex is on
+	started bool        // the transport may read
 	touched atomic.Bool // at least one Read began
 	ended   atomic.Bool
 	whole   atomic.Bool // the end of the body was read
@@ -37,15 +37,8 @@
 	return &upload{body: http.MaxBytesReader(w, r.Body, bound), control: http.NewResponseController(w)}
 }
 
-// start prepares the body for being read while the answer is written. Without
-// full duplex the server would read it on its own as soon as the answer starts.
-func (u *upload) start(l *pool.Link) {
-	u.link = l
-	if !u.started {
-		u.started = true
-		_ = u.control.EnableFullDuplex()
-	}
-}
+// start gives the body to the transport for a dispatch on the link.
+func (u *upload) start(l *pool.Link) { u.link, u.started = l, true }
 
 // Read implements io.Reader.
 func (u *upload) Read(p []byte) (int, error) {
@@ -108,7 +101,8 @@
 }
 
 // closeEarly makes the server close the caller's connection after the answer if
-// the rest of the body is not read. It waits a little before it does, or the
+// the rest of the body is not read. Otherwise the server would read that rest on
+// its own before it sends the header. It waits a little before it closes, or the
 // caller, which still sends, would lose the answer to a reset.
 func (x *exchange) closeEarly() {
 	if u := x.upload; u == nil || !u.started || u.whole.Load() || x.r.ProtoMajor != 1 {
