--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -46,6 +46,7 @@
 	doubt        error  // of an earlier attempt that may have run
 	reader       reader // of the answer
 	trace        httptrace.ClientTrace
+	tries        int
 	resumed      int
 	replayed     bool
 	status       int
@@ -61,13 +62,13 @@
 	if x.class == planner.Once && x.key != "" {
 		return x.serveKeyed()
 	}
-	for n := 1; ; n++ {
+	for {
 		a, err := x.fetch()
 		if err != nil {
 			return err
 		}
 		// A broken answer of which the caller saw nothing is like none.
-		if err = x.deliver(a); err == nil || x.started || n == maxAttempts || !x.again(a, err) {
+		if err = x.deliver(a); err == nil || x.started || !x.again(a, err) {
 			return err
 		}
 		x.failed = append(x.failed, a.up)
@@ -76,15 +77,16 @@
 
 // fetch makes attempts until one has an answer.
 func (x *exchange) fetch() (*attempt, error) {
-	for n := 1; ; n++ {
+	for {
 		a, err := x.admit()
 		if err != nil {
 			return nil, x.verdict(err)
 		}
+		x.tries++
 		if a, err = x.try(a); err == nil {
 			return a, nil
 		}
-		if n == maxAttempts || !x.again(a, err) {
+		if !x.again(a, err) {
 			return nil, x.verdict(err)
 		}
 	}
@@ -105,7 +107,7 @@
 	if kind.Outcome() != classifier.NotRun {
 		x.doubt = err
 	}
-	if x.sent || x.gone() || !time.Now().Before(x.deadline) {
+	if x.tries >= maxAttempts || x.sent || x.gone() || !time.Now().Before(x.deadline) {
 		return false
 	}
 	if x.class == planner.Once && kind != classifier.Unreachable {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -182,6 +182,39 @@
 	}
 }
 
+// Guards against an upstream that goes on sending to a caller that left.
+func TestCallerLeavesDownload(t *testing.T) {
+	ended := make(chan struct{})
+	g := wired(t, echo(func(w http.ResponseWriter, _ *http.Request) {
+		defer close(ended)
+		for _, err := w.Write(content); err == nil; _, err = w.Write(content) {
+		}
+	}))
+	resp, err := g.client.Do(g.request(t, http.MethodGet, "/s/docs/x", ""))
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	<-ended
+	<-g.traces
+	assert.Equal(t, g.taken.Load(), int64(0))
+	assert.Equal(t, g.observed[Broken].Load(), int64(0), "the upstream is not to blame")
+}
+
+// Guards against a refusal while waiting helps, a wait that never ends, and a
+// Retry-After that is too early.
+func TestWaitForUnit(t *testing.T) {
+	g := wired(t, echo(func(http.ResponseWriter, *http.Request) {}))
+	g.full.Store(2)
+	g.waits.Store(2)
+	resp, _, err := g.do(t, g.request(t, http.MethodPost, "/s/docs/x", ""))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	<-g.traces
+	g.full.Store(1)
+	resp, _, err = g.do(t, g.request(t, http.MethodPost, "/s/docs/x", ""))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Status[:3]+" "+resp.Header.Get("Retry-After"), "503 2")
+}
+
 // Guards against headers that belong to one connection being passed on, headers
 // of ours being forged, and paths being rewritten.
 func TestHeaders(t *testing.T) {
--- a/internal/request/forwarder/rig_test.go
+++ b/internal/request/forwarder/rig_test.go
@@ -115,6 +115,8 @@
 	hedge    time.Duration
 	observed [Misplaced + 1]atomic.Int64
 	taken    atomic.Int64 // tickets
+	full     atomic.Int64 // tickets to be refused from now on
+	waits    atomic.Int64 // waits that end well from now on
 	traces   chan Trace
 
 	mu     sync.Mutex
@@ -140,11 +142,17 @@
 }
 
 func (g *rig) Try(time.Time, *planner.Upstream, planner.Class, time.Time) (Ticket, bool) {
+	if g.full.Add(-1) >= 0 {
+		return nil, false
+	}
 	g.taken.Add(1)
 	return g, true
 }
 func (g *rig) Release(time.Time) { g.taken.Add(-1) }
 func (g *rig) Wait(ctx context.Context, s *planner.Service, c planner.Class, d time.Time) error {
+	if g.waits.Add(-1) >= 0 {
+		return nil
+	}
 	return open{}.Wait(ctx, s, c, d)
 }
 
