Forget withdrawn upstreams and space out probes

The pool kept an entry for each address it had ever used, which grows with every change of the configuration. An upstream whose answers take more than 2 s got a probe, and so a new connection, every 100 ms.

--- a/internal/connection/pool/check.go
+++ b/internal/connection/pool/check.go
@@ -83,19 +83,10 @@
 			l.stall = 0
 		}
 	}
-	if probe = probe && !g.probing && now >= g.probed && !g.pool.closed.Load(); probe {
-		// Without room for a connection the probe waits for the next sweep.
-		if probe = g.open < g.limit; !probe {
-			if l, ok := g.idle.oldest(); ok {
-				removed = append(removed, l)
-			}
-		}
-	}
 	if probe {
-		g.probing = true
-		g.open++
-		g.pool.tasks.Go(g.probe)
+		removed = append(removed, g.startProbe(now)...)
 	}
+	g.forget()
 	g.mu.Unlock()
 	closeAll(removed)
 	for _, w := range stalled {
@@ -103,6 +94,25 @@
 	}
 }
 
+// startProbe starts a probe unless one runs or ran just now. Without room for
+// its connection it returns an idle one to close, and the next sweep tries again.
+// Called with mu held.
+func (g *group) startProbe(now time.Duration) []*Link {
+	if g.probing || now < g.probed || g.pool.closed.Load() {
+		return nil
+	}
+	if g.open >= g.limit {
+		if l, ok := g.idle.oldest(); ok {
+			return []*Link{l}
+		}
+		return nil
+	}
+	g.probing = true
+	g.open++
+	g.pool.tasks.Go(g.probe)
+	return nil
+}
+
 // silentFor returns how long the connection has carried no byte although some
 // are expected.
 func (l *Link) silentFor(now time.Duration) time.Duration {
@@ -155,6 +165,7 @@
 	defer g.mu.Unlock()
 	g.probing = false
 	now := g.now()
+	g.probed = now + probeGap
 	for _, b := range g.busy {
 		if !b.told && b.silentFor(now) >= b.quiet {
 			b.told, b.suspect = true, true
--- a/internal/connection/pool/group.go
+++ b/internal/connection/pool/group.go
@@ -31,6 +31,9 @@
 	probed   time.Duration // no probe before this time
 	failures int
 	down     time.Time // dials fail at once until then
+
+	withdrawn bool // no new connections
+	forgotten bool // not in Pool.groups any more
 }
 
 type waiter struct{ ready chan offer }
@@ -51,10 +54,33 @@
 
 func (g *group) now() time.Duration { return time.Since(g.pool.base) }
 
-func (g *group) bound(n int) {
+// bound reports false if the group was forgotten in the meantime.
+func (g *group) bound(n int) bool {
 	g.mu.Lock()
+	if g.forgotten {
+		g.mu.Unlock()
+		return false
+	}
+	g.withdrawn = false
+	removed := g.shrink(n)
+	g.spawn()
+	g.mu.Unlock()
+	closeAll(removed)
+	return true
+}
+
+func (g *group) withdraw() {
+	g.mu.Lock()
+	g.withdrawn = true
+	removed := g.shrink(0)
+	g.mu.Unlock()
+	closeAll(removed)
+}
+
+// shrink sets the limit and returns the idle connections above it. Called with
+// mu held.
+func (g *group) shrink(n int) (removed []*Link) {
 	g.limit = n
-	var removed []*Link
 	for g.open-len(removed) > n {
 		l, ok := g.idle.oldest()
 		if !ok {
@@ -62,9 +88,16 @@
 		}
 		removed = append(removed, l)
 	}
-	g.spawn()
-	g.mu.Unlock()
-	closeAll(removed)
+	return removed
+}
+
+// forget drops a withdrawn group without connections and waiters. Called with
+// mu held.
+func (g *group) forget() {
+	if g.withdrawn && g.open == 0 && g.waiters.size() == 0 {
+		g.forgotten = true
+		g.pool.groups.CompareAndDelete(g.address, g)
+	}
 }
 
 // take returns an idle connection if reuse is set and there is one, or else the
@@ -85,6 +118,10 @@
 		l.Close()
 		g.mu.Lock()
 	}
+	if g.withdrawn {
+		g.mu.Unlock()
+		return nil, classifier.Unreachable.New("upstream %s was withdrawn", g.address)
+	}
 	if time.Now().Before(g.down) {
 		g.mu.Unlock()
 		return nil, classifier.Unreachable.New("upstream %s refused the last connection", g.address)
--- a/internal/connection/pool/pool.go
+++ b/internal/connection/pool/pool.go
@@ -26,6 +26,7 @@
 	silence   = 2 * time.Second        // in use without a byte: the upstream is probed
 	stale     = 5 * time.Second        // idle for longer: checked before the next use
 	sweep     = 100 * time.Millisecond // resolution of the times above
+	probeGap  = 500 * time.Millisecond // between probes, so that slow answers cost few connections
 	checkTime = time.Second            // a probe or check without an answer failed
 	dialTime  = 3 * time.Second
 	idleTime  = 60 * time.Second // idle for longer: closed
@@ -131,7 +132,18 @@
 
 // Bound sets how many connections the host may hold to the upstream. Idle ones
 // above the bound are closed at once, others when their request ends.
-func (p *Pool) Bound(address string, n int) { p.group(address).bound(n) }
+func (p *Pool) Bound(address string, n int) {
+	for !p.group(address).bound(n) {
+	}
+}
+
+// Remove closes the idle connections to an upstream that was withdrawn, and
+// forgets it once the last request there has ended.
+func (p *Pool) Remove(address string) {
+	if g, ok := p.groups.Load(address); ok {
+		g.(*group).withdraw()
+	}
+}
 
 // Get returns a connection for one request. An error means that nothing was
 // sent: its kind is Expired when ctx ended, and Unreachable otherwise.
--- a/internal/connection/pool/pool_test.go
+++ b/internal/connection/pool/pool_test.go
@@ -340,7 +340,11 @@
 		time.Sleep(stale + time.Second)
 		assert.NilError(t, run(t, p, 10*time.Second, nil))
 		assert.Assert(t, p.Counts().Open <= 2)
-		p.Bound(upstream, 0)
+		p.Remove(upstream)
 		assert.Equal(t, p.Counts().Open, 0)
+		time.Sleep(time.Second)
+		p.each(func(*group) { t.Error("a withdrawn upstream is kept in memory") })
+		p.Bound(upstream, 2)
+		assert.NilError(t, run(t, p, 10*time.Second, nil))
 	})
 }
--- a/internal/request/forwarder/answer.go
+++ b/internal/request/forwarder/answer.go
@@ -147,6 +147,7 @@
 // resume continues the answer at another upstream.
 func (r *reader) resume(err error) bool {
 	x := r.x
+	x.extra.Wait() // a hedge may still read the list of failed upstreams
 	for r.resumer.Possible() && classifier.Of(err) == classifier.Truncated && x.resumed < maxAttempts && !x.gone() {
 		x.failed = append(x.failed, r.a.up)
 		r.a.finish(err)
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -71,6 +71,7 @@
 		if err = x.deliver(a); err == nil || x.started || !x.again(a, err) {
 			return err
 		}
+		x.extra.Wait() // a hedge may still read the list
 		x.failed = append(x.failed, a.up)
 	}
 }
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -31,6 +31,7 @@
 	}
 	if err == nil {
 		if h.win(a) {
+			a.hedged = false
 			return a, nil
 		}
 		a.finish(errLost)
