--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -258,28 +258,36 @@
 		return Ticket{}, false
 	}
 	for {
-		t := a.table.Load()
-		p := t.find(u)
-		if p == nil {
-			return Ticket{}, false
-		}
-		up, ok := p.level.take(class, deadline)
-		if !ok {
-			return Ticket{}, false
-		}
-		region, ok := p.region.take(class, deadline)
-		if !ok {
-			up.Add(-1)
-			return Ticket{}, false
-		}
-		// A table installed meanwhile may allow less, and Used may have been
-		// asked before the unit was taken. What Install decided counts.
-		if a.table.Load() == t {
-			return Ticket{a, p, up, region}, true
+		ticket, ok, again := a.attempt(a.table.Load(), u, class, deadline)
+		if !again {
+			return ticket, ok
 		}
+	}
+}
+
+// attempt is Try under one table. Again tells that another table was installed
+// meanwhile. It may allow less, and Used may have been asked before the unit
+// was taken, so the unit is given back.
+func (a *Admitter) attempt(t *table, u *planner.Upstream, class planner.Class, deadline time.Time) (ticket Ticket, ok, again bool) {
+	p := t.find(u)
+	if p == nil {
+		return Ticket{}, false, false
+	}
+	up, ok := p.level.take(class, deadline)
+	if !ok {
+		return Ticket{}, false, false
+	}
+	region, ok := p.region.take(class, deadline)
+	if !ok {
+		up.Add(-1)
+		return Ticket{}, false, false
+	}
+	if a.table.Load() != t {
 		up.Add(-1)
 		region.Add(-1)
+		return Ticket{}, false, true
 	}
+	return Ticket{a, p, up, region}, true, false
 }
 
 // Release gives the units back and lets the next request try.
