Count writes to the store and tell when the ledger is read

The store's limit had shares but nothing that held a host to them. A host that leaves shares or lacks its part reads the row more often, so that a new host among 12 has its part within 36 s. Rate of a link that is on loan keeps its shares from being given up; without it the borrower would use them beside the next holder for up to 30.3 s.

--- a/internal/connection/pacer/pacer.go
+++ b/internal/connection/pacer/pacer.go
@@ -1,12 +1,12 @@
-// Package pacer holds traffic on the links between regions to this host's part
-// of their rates. Bytes are read from an upstream only when the link's token
+// Package pacer holds traffic on the links between regions, and writes to the
+// store, to this host's part of their rates. Bytes are read from an upstream only when the link's token
 // bucket holds them, so that a full link pushes back on the upstream instead of
 // filling memory.
 //
 // Traffic has two kinds: look-ups and once-requests have 20% of the rate,
 // downloads the rest, and what one kind leaves unused the other may take.
-// golang.org/x/time/rate doesn't fit: its limiters can't pass unused tokens to
-// each other, and they know no right that ends at a time.
+// golang.org/x/time/rate doesn't fit links: its limiters can't pass unused
+// tokens to each other. It does fit writes to the store.
 package pacer
 
 import (
@@ -41,6 +41,7 @@
 type Pacer struct {
 	buckets atomic.Pointer[map[string]*bucket]
 	mu      sync.Mutex // installs
+	store   store
 }
 
 // kind selects the bucket half of a class.
@@ -62,6 +63,7 @@
 // bucket is one direction of one link.
 type bucket struct {
 	mu       sync.Mutex
+	from     string // region whose ledger the link belongs to
 	units    allotter.Units
 	own      int64
 	until    time.Time
@@ -96,11 +98,12 @@
 		right := rights.Regions[l.From().Name()]
 		b.mu.Lock()
 		b.refill(time.Now())
-		b.units = allotter.Link(l.Rate())
+		b.from, b.units = l.From().Name(), allotter.Link(l.Rate())
 		b.own, b.until, b.loans = b.units.In(right.Shares), right.Until, loans
 		b.mu.Unlock()
 	}
 	p.buckets.Store(&next)
+	p.store.install(rights)
 }
 
 func (p *Pacer) bucket(link string) *bucket {
@@ -328,7 +331,6 @@
 	}
 	b.refill(now)
 	b.lent += bytesPerSecond
-	b.refill(now)
 	return true
 }
 
@@ -345,6 +347,26 @@
 	b.lent = min(b.lent, max(lent, 0))
 }
 
+// Used returns the shares of the region's ledger row that loans of link rate
+// need beyond the shares in keep: none if they fit into keep, else all. The
+// caller joins it with Admitter.Used. Reservations need no shares, because
+// their traffic follows the rate.
+func (p *Pacer) Used(region string, keep allotter.Set) allotter.Set {
+	m := p.buckets.Load()
+	if m == nil {
+		return 0
+	}
+	for _, b := range *m {
+		b.mu.Lock()
+		over := b.from == region && b.lent > b.units.In(keep)
+		b.mu.Unlock()
+		if over {
+			return allotter.All
+		}
+	}
+	return 0
+}
+
 // Figure describes the link's limit at this host, in bytes per second. Used is
 // the traffic of the last full second or the reservations, if they are more.
 func (p *Pacer) Figure(link *planner.Link) allotter.Figure {
--- a/internal/process/allotter/allotter.go
+++ b/internal/process/allotter/allotter.go
@@ -294,6 +294,32 @@
 // Stale reports whether the row must be read before Step can propose a write.
 func (a *Allotter) Stale() bool { return a.stale }
 
+// Periods of reads. Holders read more seldom the more they are, so that all of
+// them together read a row at most twice per second while nothing moves.
+const (
+	period = 15 * time.Second
+	spread = 500 * time.Millisecond // for each holder
+	moving = time.Second            // while this host leaves shares
+	scarce = 5 * time.Second        // while this host has less than its part
+)
+
+// Due returns when the caller should read the row next, after which it calls
+// Step. The caller adds jitter, and reads earlier when a peer's digest shows a
+// later counter.
+func (a *Allotter) Due(now time.Time) time.Time {
+	if a.stale {
+		return now
+	}
+	own := a.row.find(a.self.Address)
+	switch {
+	case own < 0 || a.row.Holders[own].Leaving != 0:
+		return a.lastly.Add(moving)
+	case keeps(a.row.Holders[own]) < a.row.target(own):
+		return a.lastly.Add(scarce)
+	}
+	return a.lastly.Add(max(period, time.Duration(len(a.row.Holders))*spread))
+}
+
 // Row returns the last row read and its revision. The caller must not change it.
 func (a *Allotter) Row() (Row, string) { return a.row, a.rev }
 
--- a/internal/process/allotter/right.go
+++ b/internal/process/allotter/right.go
@@ -14,10 +14,13 @@
 }
 
 // Rights are the rights in force: one Right for the ledger of each region, by
-// the region's name, and the loans from other hosts. A link belongs to the
-// ledger of the region where its traffic starts.
+// the region's name, one for the store, and the loans from other hosts. A link
+// belongs to the ledger of the region where its traffic starts. Writes is how
+// many writes per second the store takes from all hosts.
 type Rights struct {
 	Regions map[string]Right
+	Store   Right
+	Writes  int64
 	Loans   []lender.Held
 }
 
