--- a/internal/process/publisher/publisher_test.go
+++ b/internal/process/publisher/publisher_test.go
@@ -252,7 +252,7 @@
 		n := note(fmt.Sprint("n", base), base, fmt.Sprint("c", base))
 		next, err := x.Publish(t.Context(), n)
 		assert.NilError(t, err)
-		if snapshotter.Due(next.Version()) {
+		if snapshotter.Due(base, next.Version()) {
 			assert.NilError(t, snapshotter.New(x.store).Save(t.Context(), x.h.Plan()))
 		}
 	}
--- a/internal/process/snapshotter/part.go
+++ b/internal/process/snapshotter/part.go
@@ -47,9 +47,11 @@
 		}
 	}
 	end := min(offset+maxPart, uint64(len(c.content)))
+	// Copies: the answer is encoded while another host may change the Cutter.
+	chain, digest := c.chain, c.digest
 	return &framer.Snapshot{
-		Version: c.version, Chain: c.chain[:], Offset: offset, Size: uint64(len(c.content)),
-		Part: c.content[offset:end], Digest: c.digest[:],
+		Version: c.version, Chain: chain[:], Offset: offset, Size: uint64(len(c.content)),
+		Part: c.content[offset:end], Digest: digest[:],
 	}, nil
 }
 
--- a/internal/process/snapshotter/snapshotter.go
+++ b/internal/process/snapshotter/snapshotter.go
@@ -72,18 +72,42 @@
 	return planner.Decode(raw)
 }
 
-// Due reports whether a snapshot of the version is to be written.
-func Due(version uint64) bool { return version > 0 && version%Every == 0 }
+// Due reports whether a snapshot is to be written after the version before was
+// replaced by version. A host that catches up may pass over the multiple of
+// Every itself.
+func Due(before, version uint64) bool { return version/Every > before/Every }
 
 // Chosen reports whether the host is the one among the members that writes the
-// snapshot of the version. Hosts that see different members may both be chosen,
-// which costs a write and does no harm.
+// snapshot that is due at the version. Hosts that see different members may
+// both be chosen, which costs a write and does no harm.
 func Chosen(version uint64, self string, members []string) bool {
-	rank := func(host string) uint64 { return xxhash.Sum64String(strconv.FormatUint(version, 10) + "/" + host) }
+	rank := func(host string) uint64 {
+		return xxhash.Sum64String(strconv.FormatUint(version/Every, 10) + "/" + host)
+	}
 	mine := rank(self)
 	return !slices.ContainsFunc(members, func(m string) bool { return m != self && rank(m) < mine })
 }
 
+// Run writes the snapshots that fall to the host, until ctx ends. The caller
+// sends each installed plan; members returns the names of all hosts. A failed
+// snapshot is reported and left to the next host that is chosen.
+func (s *Snapshotter) Run(ctx context.Context, installed <-chan *planner.Plan, self string, members func() []string, failed func(error)) {
+	last := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-installed:
+			if Due(last, p.Version()) && Chosen(p.Version(), self, members()) {
+				if err := s.Save(ctx, p); err != nil {
+					failed(err)
+				}
+			}
+			last = p.Version()
+		}
+	}
+}
+
 func key(version uint64, chain planner.Chain) string {
 	return fmt.Sprintf("%s%d/%s", prefix, version, hex.EncodeToString(chain[:]))
 }
--- a/internal/process/snapshotter/snapshotter_test.go
+++ b/internal/process/snapshotter/snapshotter_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// Guards against a host that passes over the multiple of 64 while it catches
+// up and then writes no snapshot.
+func TestRunWritesWhenDue(t *testing.T) {
+	store := &objects{m: make(map[string][]byte)}
+	plans := versions(t, 130)
+	installed := make(chan *planner.Plan)
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer close(done)
+		New(store).Run(ctx, installed, "a", func() []string { return []string{"a"} }, func(err error) { t.Error(err) })
+	}()
+	for _, i := range []int{0, 62, 65, 66, 129} {
+		installed <- plans[i]
+	}
+	installed <- plans[129]
+	cancel()
+	<-done
+	assert.Equal(t, len(store.m), 2)
+	assert.Assert(t, store.m[key(66, plans[65].Chain())] != nil)
+}
+
 // large returns a version with the number of client blocks.
 func large(tb testing.TB, blocks int) *planner.Plan {
 	tb.Helper()
--- a/internal/process/spreader/driver.go
+++ b/internal/process/spreader/driver.go
@@ -9,6 +9,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -31,10 +32,12 @@
 	caller Caller
 	store  Refresher
 	wake   chan struct{}
+	log    logger.Logger
 
 	mu         sync.Mutex
 	machine    *Spreader
 	neighbours []string
+	failing    bool // the last read of the store failed
 }
 
 // NewDriver returns a Driver for the host with the name, whose peer listener
@@ -50,6 +53,23 @@
 	return d
 }
 
+// UseLogger sets the log. It must be called before Run.
+func (d *Driver) UseLogger(log logger.Logger) { d.log = log }
+
+// polled logs the first failure of the store and its recovery.
+func (d *Driver) polled(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.machine.Polled(time.Now(), err)
+	switch {
+	case err != nil && !d.failing:
+		d.log.Event(logger.StoreFailed).Err(err).Send()
+	case err == nil && d.failing:
+		d.log.Event(logger.StoreRecovered).Send()
+	}
+	d.failing = err != nil
+}
+
 func (d *Driver) wakeUp() {
 	select {
 	case d.wake <- struct{}{}:
@@ -116,10 +136,10 @@
 func (d *Driver) do(ctx context.Context, wg *sync.WaitGroup, a Action) {
 	if a.Poll {
 		err := d.store.Refresh(ctx)
-		d.mu.Lock()
-		d.machine.Polled(time.Now(), err)
-		d.mu.Unlock()
-		d.wakeUp()
+		if ctx.Err() == nil {
+			d.polled(err)
+			d.wakeUp()
+		}
 		return
 	}
 	a.Request.From, a.Request.Address = d.name, d.listen
--- a/internal/process/spreader/fleet_test.go
+++ b/internal/process/spreader/fleet_test.go
@@ -146,6 +146,11 @@
 	return n, bytes
 }
 
+func entryOf(f *fleet, version uint64) holder.Entry {
+	e, _ := f.members[0].h.Entry(version)
+	return e
+}
+
 // Guards against a publication that doesn't reach all hosts over real sockets,
 // or that costs more than a few messages per host and neighbour.
 func TestTwelveHostsOverSockets(t *testing.T) {
@@ -155,6 +160,9 @@
 		assert.NilError(t, err)
 		f.await(t, v+1)
 	}
+	e, err := f.members[5].driver.Entry(t.Context(), 7, entryOf(f, 7).Chain)
+	assert.NilError(t, err)
+	assert.Equal(t, e.Chain, entryOf(f, 7).Chain)
 	n, _ := f.messages()
 	neighbours := uint64(len(ring(0, make([]string, 12))))
 	assert.Assert(t, neighbours > 0)
@@ -207,3 +215,31 @@
 		})
 	}
 }
+
+// Virtual time from the acceptance until the version is in force everywhere,
+// and calls per host, with a one-way delay of 55 ms between any two hosts: the
+// slope over the number of hosts.
+func BenchmarkSpread(b *testing.B) {
+	for _, hosts := range []int{12, 48, 192, 768} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			var span time.Duration
+			calls, versions := 0, 0
+			w := newWorld(b, 1, hosts)
+			w.fixed = 55 * time.Millisecond
+			w.run(8 * time.Second)
+			for b.Loop() {
+				w.run(time.Second)
+				start, before := w.now, w.calls
+				assert.Assert(b, w.publish(w.names[versions*7%hosts]) > 0)
+				for _, ok := w.agree(); !ok; _, ok = w.agree() {
+					w.run(5 * time.Millisecond)
+				}
+				span += w.now.Sub(start)
+				calls += w.calls - before
+				versions++
+			}
+			b.ReportMetric(float64(span.Milliseconds())/float64(versions), "virtual-ms")
+			b.ReportMetric(float64(calls)/float64(versions*hosts), "calls/host/version")
+		})
+	}
+}
--- a/internal/process/spreader/sim_test.go
+++ b/internal/process/spreader/sim_test.go
@@ -61,7 +61,7 @@
 // world runs Spreaders in virtual time on one goroutine, so a seed gives one
 // schedule.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	rng     *rand.Rand
 	now     time.Time
 	seq     int
@@ -71,6 +71,7 @@
 	nodes   map[string]*node
 	side    map[string]int           // hosts on different sides can't talk
 	slow    map[string]time.Duration // added to what is sent to a host
+	fixed   time.Duration            // one-way delay, random if 0
 	corrupt float64                  // fraction of answers that are damaged on the way
 	polls   int
 	calls   int
@@ -86,7 +87,7 @@
 	life int
 }
 
-func newWorld(t *testing.T, seed uint64, hosts int) *world {
+func newWorld(t testing.TB, seed uint64, hosts int) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), store: new(platformer.Platformer),
 		nodes: make(map[string]*node), side: make(map[string]int), slow: make(map[string]time.Duration),
@@ -159,6 +160,9 @@
 }
 
 func (w *world) delay() time.Duration {
+	if w.fixed > 0 {
+		return w.fixed
+	}
 	return time.Millisecond + time.Duration(w.rng.Int64N(int64(80*time.Millisecond)))
 }
 
