Test that a slow read of the store doesn't revert a newer version

With both checks in Install off the new test fails (trial on a scratch copy); the random schedules alone don't reach this case, because they run a read of the store in one step.

--- a/internal/process/holder/holder_test.go
+++ b/internal/process/holder/holder_test.go
@@ -39,6 +39,7 @@
 	assert.NilError(t, h.Install(v2, e2))
 	assert.NilError(t, h.Install(v3, e3))
 	assert.Equal(t, classifier.Of(h.Install(v2, e2)), classifier.Conflict)
+	assert.Equal(t, classifier.Of(h.Install(v3, e3)), classifier.Conflict)
 	assert.DeepEqual(t, installed, []uint64{1, 2, 3})
 	list, ok := h.After(1, v1.Chain(), 1)
 	assert.Assert(t, ok)
--- a/internal/process/publisher/publisher_test.go
+++ b/internal/process/publisher/publisher_test.go
@@ -326,3 +326,25 @@
 	assert.Equal(t, x.h.Plan().Chain(), good.h.Plan().Chain())
 	assert.Equal(t, x.reverts, 0)
 }
+
+// Guards against a slow read of the store that puts its older version in force
+// after a peer has brought a newer one. Without the check in Install it would.
+func TestNewerVersionArrivesDuringRefresh(t *testing.T) {
+	p := new(platformer.Platformer)
+	other := newHost(p)
+	publish := func(base uint64) {
+		_, err := other.Publish(t.Context(), note(fmt.Sprint("n", base), base, fmt.Sprint("c", base)))
+		assert.NilError(t, err)
+	}
+	publish(0)
+	f := &faulty{next: p}
+	x := newHost(f)
+	f.fault = from(1, func(do func() (*http.Response, error)) (*http.Response, error) {
+		publish(1)
+		assert.NilError(t, x.h.Install(other.h.Plan()))
+		return do()
+	}, nil)
+	assert.NilError(t, x.Refresh(t.Context()))
+	assert.Equal(t, x.h.Plan().Version(), uint64(2))
+	assert.Equal(t, x.reverts, 0)
+}
