--- a/cmd/dandeliontrack/commands.go
+++ b/cmd/dandeliontrack/commands.go
@@ -16,7 +16,6 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/runner"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
-	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/api"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -26,12 +25,17 @@
 	data              any
 }
 
-var commands = []command{
-	{"serve", "run one host", "Runs an entry host with the settings in a file until SIGTERM or SIGINT, then stops gracefully.", new(serveCommand)},
-	{"check", "check settings and release notes", "Checks settings or release notes without running anything.", new(checkCommand)},
-	{"publish", "put a release note into effect", "Publishes a release note through a host's operator address.", new(publishCommand)},
-	{"lookup", "ask which hosts to use", "Asks a host which entry hosts a caller uses for a service.", new(lookupCommand)},
-	{"stand-in", "run a stand-in of the platform and of upstreams", "Runs the fakes of the platform and of upstreams that a file describes.", new(standInCommand)},
+// Exit codes are those of docs/errors.md: 0 for success, otherwise the code of
+// the error's kind.
+func newCommands() []command {
+	return []command{
+		{"serve", "run one host", "Runs an entry host with the settings in a file. SIGTERM or SIGINT begins a graceful stop: the host leaves the look-ups, finishes what is in flight and exits with 0. Wrong settings exit with 2 before a socket opens.", new(serveCommand)},
+		{"check", "check settings, release notes and stand-in files", "Checks files without running anything. Release notes are applied in the order given, the first one to an empty configuration. Prints a line for each correct file. The first wrong one ends the command with the line, the field and the remedy, and exits with 2, or with 4 for a note on another base version.", new(checkCommand)},
+		{"publish", "put a release note into effect", "Publishes a release note through a host's operator address and prints the version it became. Exits with 2 if the note is wrong, 4 if another publication came first, 6 if the host or the store can't be reached, and 8 if it isn't known whether the note was accepted; the same note can then be published again.", new(publishCommand)},
+		{"lookup", "ask which hosts to use", "Asks a host which entry hosts a caller uses for a service, and prints them in order. Exits with 3 if the service is unknown and 6 if the host can't be reached.", new(lookupCommand)},
+		{"stand-in", "run stand-ins of the platform and of upstreams", "Runs the stand-ins that a file describes until SIGTERM or SIGINT. Faults are in the file or set with PUT /faults. A wrong file exits with 2 before a socket opens.", new(standInCommand)},
+		{"dev", "run a whole deployment in one process", "Runs a deployment on loopback with stand-ins of the platform and of all upstreams, and prints its addresses and what to try next, until SIGTERM or SIGINT. With --tour, runs a fixed sequence of steps instead, prints what was promised and seen for each, and exits with 1 if a promise was broken.", new(devCommand)},
+	}
 }
 
 type serveCommand struct {
@@ -57,46 +61,6 @@
 	return r.Run(ctx)
 }
 
-type checkCommand struct {
-	Args struct {
-		Files []string `positional-arg-name:"FILE" required:"1"`
-	} `positional-args:"yes"`
-}
-
-// Execute checks each file. The first release note is checked on an empty
-// configuration, each later one on the result of those before it.
-func (c *checkCommand) Execute([]string) error {
-	plan := new(planner.Plan)
-	for _, file := range c.Args.Files {
-		raw, err := os.ReadFile(file)
-		if err != nil {
-			return classifier.Invalid.Wrap(err, "check")
-		}
-		plan, err = checkFile(plan, raw)
-		if err != nil {
-			return classifier.Of(err).Wrap(err, file)
-		}
-		fmt.Printf("%s: ok\n", file)
-	}
-	return nil
-}
-
-func checkFile(plan *planner.Plan, raw []byte) (*planner.Plan, error) {
-	var probe map[string]json.RawMessage
-	if err := json.Unmarshal(raw, &probe); err != nil {
-		return nil, classifier.Invalid.Wrap(err, "not a JSON object")
-	}
-	if _, ok := probe["platform"]; ok {
-		_, err := settler.Read(bytes.NewReader(raw))
-		return plan, err
-	}
-	n, err := noter.Read(bytes.NewReader(raw))
-	if err != nil {
-		return nil, err
-	}
-	return plan.Apply(n)
-}
-
 type publishCommand struct {
 	To   string `long:"to" required:"true" description:"operator address of a host" value-name:"ADDR"`
 	JSON bool   `long:"json" description:"print the result as JSON"`
--- a/cmd/dandeliontrack/main.go
+++ b/cmd/dandeliontrack/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/jessevdk/go-flags"
@@ -11,31 +12,30 @@
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
-func main() {
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run executes the command that the arguments name and returns its exit code.
+func run(args []string, stdout, stderr io.Writer) int {
 	parser := flags.NewNamedParser("dandeliontrack", flags.HelpFlag|flags.PassDoubleDash)
-	for _, c := range commands {
+	for _, c := range newCommands() {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(classifier.Internal.Exit())
+			fmt.Fprintln(stderr, err)
+			return classifier.Internal.Exit()
 		}
 	}
-	os.Exit(exitCode(parser))
-}
-
-func exitCode(parser *flags.Parser) int {
-	_, err := parser.Parse()
+	_, err := parser.ParseArgs(args)
 	if err == nil {
 		return 0
 	}
 	if flagsErr, ok := err.(*flags.Error); ok {
 		if flagsErr.Type == flags.ErrHelp {
-			fmt.Println(err)
+			fmt.Fprintln(stdout, err)
 			return 0
 		}
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(stderr, err)
 		return classifier.BadRequest.Exit()
 	}
 	kind := classifier.Of(err)
-	fmt.Fprintf(os.Stderr, "dandeliontrack: %s: %v\n", kind, err)
+	fmt.Fprintf(stderr, "dandeliontrack: %s: %v\n", kind, err)
 	return kind.Exit()
 }
--- a/cmd/dandeliontrack/standin.go
+++ b/cmd/dandeliontrack/standin.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -12,10 +13,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
+	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
 	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
 	"dandeliontrack.example/dandeliontrack/internal/process/worker"
-	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -23,55 +23,55 @@
 	File string `long:"file" required:"true" description:"JSON description of the stand-ins" value-name:"FILE"`
 }
 
-type standInFile struct {
-	Platform  string            `json:"platform"`
-	Hosts     []adapter.Entry   `json:"hosts"`
-	Upstreams []standInUpstream `json:"upstreams"`
-}
-
-type standInUpstream struct {
-	Name   string         `json:"name"`
-	Listen string         `json:"listen"`
-	Slots  int            `json:"slots"`
-	Time   noter.Duration `json:"time"`
-	Size   int            `json:"size"`
-}
-
 // Execute runs the stand-ins until a signal.
 func (c *standInCommand) Execute([]string) error {
-	raw, err := os.ReadFile(c.File)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return runStandIns(ctx, c.File, os.Stdout)
+}
+
+// runStandIns runs what a file describes until ctx ends. Nothing is opened if
+// the file fails a check.
+func runStandIns(ctx context.Context, file string, out io.Writer) error {
+	raw, err := os.ReadFile(file)
 	if err != nil {
 		return classifier.Invalid.Wrap(err, "stand-in")
 	}
-	var f standInFile
-	if err := json.Unmarshal(raw, &f); err != nil {
-		return classifier.Invalid.Wrap(err, c.File)
+	d, err := deployer.Describe(raw)
+	if err != nil {
+		return classifier.Of(err).Wrap(err, file)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	g, ctx := errgroup.WithContext(ctx)
 	p := new(platformer.Platformer)
-	p.SetHosts(f.Hosts)
-	handlers := map[string]http.Handler{f.Platform: p}
-	for _, u := range f.Upstreams {
-		handlers[u.Listen] = worker.New(u.Name, u.Slots, time.Duration(u.Time), u.Size)
+	p.SetHosts(d.Hosts)
+	p.SetFaults(d.Faults)
+	servers := map[string]*http.Server{d.Platform: {Handler: p, ReadHeaderTimeout: 5 * time.Second}}
+	for _, u := range d.Upstreams {
+		servers[u.Listen] = worker.NewFrom(u.Settings).Server()
 	}
-	for address, handler := range handlers {
-		listener, err := net.Listen("tcp", address)
+	g, ctx := errgroup.WithContext(ctx)
+	listeners := make(map[string]net.Listener, len(servers))
+	for address := range servers {
+		l, err := net.Listen("tcp", address)
 		if err != nil {
+			for _, l := range listeners {
+				_ = l.Close()
+			}
 			return classifier.Invalid.Wrap(err, "listen")
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+		listeners[address] = l
+	}
+	for address, s := range servers {
 		g.Go(func() error {
 			<-ctx.Done()
-			return server.Close()
+			return s.Close()
 		})
 		g.Go(func() error {
-			if err := server.Serve(listener); err != http.ErrServerClosed {
+			if err := s.Serve(listeners[address]); err != http.ErrServerClosed {
 				return err
 			}
 			return nil
 		})
 	}
+	fmt.Fprintf(out, "platform at %s, %d upstreams; set faults with PUT /faults at any of them\n", d.Platform, len(d.Upstreams))
 	return g.Wait()
 }
--- /dev/null
+++ b/internal/process/deployer/deployer_test.go
@@ -0,0 +1,97 @@
+package deployer_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/checker"
+	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
+	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+func start(t *testing.T, o deployer.Options) *deployer.Deployer {
+	d, err := deployer.New(o)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		assert.Check(t, d.Stop(ctx))
+	})
+	assert.NilError(t, d.Start(ctx))
+	return d
+}
+
+// Guards against deployments that take each other's ports, that differ from
+// their description, or whose calls don't reach the checker.
+func TestTwoDeployments(t *testing.T) {
+	for name, c := range map[string]struct{ hosts, upstreams int }{"sakdiphong": {8, 38}, "campos": {12, 44}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := start(t, deployer.Options{Deployment: name, Hosts: c.hosts, Lifetime: 100 * time.Millisecond})
+			assert.Equal(t, len(d.Hosts()), c.hosts)
+			assert.Equal(t, len(d.Plan().Upstreams()), c.upstreams)
+			for i, s := range d.Plan().Services() {
+				method := http.MethodGet
+				if s.Class().String() == "once" {
+					method = http.MethodPost
+				}
+				a := d.Call(t.Context(), d.Hosts()[i], deployer.Request{Method: method, Service: s.Name(), Path: "/x", Key: "key-" + s.Name()})
+				assert.Assert(t, a.Whole(), "%+v", a)
+				assert.Assert(t, a.Elapsed >= 6*time.Millisecond, "two ways between client and host: %v", a.Elapsed)
+				assert.Equal(t, d.Worker(a.Upstream).Runs("key-"+s.Name())+d.Worker(a.Upstream).Runs(a.ID), 1)
+			}
+			d.Check(func(c *checker.Checker) { c.Finish(time.Now()) })
+			assert.Equal(t, len(d.Breaches()), 0, "%v", d.Breaches())
+		})
+	}
+}
+
+// Guards against a deployment in which the checker sees nothing: a fault of
+// every upstream of a service has to be reported.
+func TestCheckerSeesFaults(t *testing.T) {
+	d := start(t, deployer.Options{Deployment: "campos", Hosts: 1, Immediate: true, Lifetime: 100 * time.Millisecond})
+	for _, u := range d.Plan().Service("listings-web").Upstreams() {
+		d.Drain(u.Name())
+		d.Worker(u.Name()).ChangeFaults(func(f *worker.Faults) { f.Fail = true })
+	}
+	var late time.Duration
+	d.Check(func(c *checker.Checker) {
+		name := d.Plan().Service("listings-web").Upstreams()[0].Name()
+		late = checker.DefaultBounds.Leave + time.Second
+		c.Ran(checker.Ran{At: time.Now().Add(late), Upstream: name, ID: "late"})
+	})
+	assert.Equal(t, len(d.Breaches()), 1)
+	assert.Equal(t, d.Breaches()[0].Promise, checker.Leaving)
+}
+
+// Guards against a host that can't start again on its address.
+func TestRestartHost(t *testing.T) {
+	d := start(t, deployer.Options{Deployment: "sakdiphong", Hosts: 2, Immediate: true, Lifetime: 100 * time.Millisecond})
+	h := d.Hosts()[1]
+	assert.NilError(t, h.Stop(t.Context()))
+	a := d.Call(t.Context(), h, deployer.Request{Method: http.MethodGet, Service: "catalog", Path: "/x"})
+	assert.Assert(t, a.Err != nil)
+	assert.NilError(t, h.Start(t.Context()))
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	assert.NilError(t, d.WaitVersion(ctx, 1))
+}
+
+// Guards against options that are taken although nothing can run with them.
+func TestOptions(t *testing.T) {
+	for name, o := range map[string]deployer.Options{
+		"unknown deployment": {Deployment: "nowhere"},
+		"too many hosts":     {Deployment: "campos", Hosts: 13},
+		"negative hosts":     {Deployment: "campos", Hosts: -1},
+	} {
+		_, err := deployer.New(o)
+		assert.Equal(t, classifier.Of(err), classifier.BadRequest, name)
+	}
+}
