--- a/internal/process/deployer/tour.go
+++ b/internal/process/deployer/tour.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -298,16 +299,21 @@
 	// drained is in flight.
 	time.Sleep(time.Second)
 	d.Drain(name)
-	start, offered := time.Now(), 0
-	for time.Since(start) < drainTime && ctx.Err() == nil {
-		d.Call(ctx, d.hosts[offered%len(d.hosts)], Request{Method: http.MethodGet, Service: service, Path: "/short?size=1024"})
-		offered++
+	var offered atomic.Int64
+	start := time.Now()
+	for _, h := range d.hosts {
+		wg.Go(func() {
+			for time.Since(start) < drainTime && ctx.Err() == nil {
+				d.Call(ctx, h, Request{Method: http.MethodGet, Service: service, Path: "/short?size=1024"})
+				offered.Add(1)
+			}
+		})
 	}
 	wg.Wait()
 	c := d.workers[name].Counts()
 	d.Return(name)
 	n := whole(long)
-	return fmt.Sprintf("%s: %d of %d new ones came after the sign, the last at %v; %d of %d long ones complete", name, c.Late, offered, time.Duration(c.Lag).Round(time.Millisecond), n, len(long)),
+	return fmt.Sprintf("%s: %d of %d new ones came after the sign, the last at %v; %d of %d long ones complete", name, c.Late, offered.Load(), time.Duration(c.Lag).Round(time.Millisecond), n, len(long)),
 		time.Duration(c.Lag) <= d.options.Bounds.Leave && n == len(long)
 }
 
