--- a/internal/process/deployer/deployer_test.go
+++ b/internal/process/deployer/deployer_test.go
@@ -95,3 +95,25 @@
 		assert.Equal(t, classifier.Of(err), classifier.BadRequest, name)
 	}
 }
+
+// Guards against a stop of a host that cuts off a download in flight (P7).
+func TestStopFinishesDownload(t *testing.T) {
+	d := start(t, deployer.Options{Deployment: "campos", Hosts: 2, Immediate: true, Lifetime: 100 * time.Millisecond})
+	answers := make(chan deployer.Answer, 1)
+	go func() {
+		answers <- d.Call(t.Context(), d.Hosts()[1], deployer.Request{Method: http.MethodGet, Service: "plans-archive", Path: "/x?size=1048576&rate=1048576"})
+	}()
+	busy := func() (n int) {
+		for _, u := range d.Plan().Service("plans-archive").Upstreams() {
+			n += d.Worker(u.Name()).Busy()
+		}
+		return n
+	}
+	for deadline := time.Now().Add(10 * time.Second); busy() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "no download began")
+	}
+	assert.NilError(t, d.Hosts()[1].Stop(t.Context()))
+	a := <-answers
+	assert.Assert(t, a.Whole(), "%+v", a)
+	assert.Equal(t, len(d.Breaches()), 0, "%v", d.Breaches())
+}
