--- a/internal/process/granter/granter.go
+++ b/internal/process/granter/granter.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/allotter"
@@ -53,6 +51,13 @@
 	Free(u *planner.Upstream) int
 }
 
+// Links is the Gate of links and of writes to the store.
+type Links interface {
+	Gate
+	Used(region string, keep allotter.Set) allotter.Set
+	UsedWrites(keep allotter.Set) allotter.Set
+}
+
 // Options configure a Granter.
 type Options struct {
 	Self   allotter.Identity
@@ -61,7 +66,7 @@
 	// Peers returns the peer addresses of the live members but this host.
 	Peers func() []string
 	Slots Slots
-	Links Gate
+	Links Links
 	Log   logger.Logger
 	// OnReady is called once, when the host holds shares of every ledger.
 	OnReady func()
@@ -69,8 +74,7 @@
 
 // Granter obtains the rights of one host. It is safe for concurrent use.
 type Granter struct {
-	o      Options
-	writes *rate.Limiter
+	o Options
 
 	mu      sync.Mutex
 	plan    *planner.Plan
@@ -88,15 +92,12 @@
 // New returns a Granter without rights.
 func New(o Options) *Granter {
 	return &Granter{
-		o: o, writes: rate.NewLimiter(0, storeWrites), plan: new(planner.Plan),
+		o: o, plan: new(planner.Plan),
 		ledgers: make(map[string]*ledger), lender: lender.New(o.Self.Incarnation),
 		lent: make(map[string]bool), needs: make(map[string]bool),
 	}
 }
 
-// Allow takes writes from this host's share of the store's limit.
-func (g *Granter) Allow(now time.Time, writes int) bool { return g.writes.AllowN(now, writes) }
-
 // Need says that requests of the service wait for units.
 func (g *Granter) Need(s *planner.Service) {
 	g.mu.Lock()
@@ -150,7 +151,7 @@
 
 // install puts the rights of now in force. The caller holds g.mu.
 func (g *Granter) install(now time.Time) {
-	rights := allotter.Rights{Regions: make(map[string]allotter.Right), Loans: g.lender.Borrowed(now)}
+	rights := allotter.Rights{Regions: make(map[string]allotter.Right), Loans: g.lender.Borrowed(now), Writes: storeWrites}
 	complete := len(g.ledgers) > 1
 	for name, l := range g.ledgers {
 		shares, until := l.allotter.Held(now)
@@ -159,11 +160,12 @@
 			g.o.Log.Event(logger.SharesChanged).Str("ledger", name).Int("shares", shares.Len()).Send()
 			l.shares = shares
 		}
+		right := allotter.Right{Shares: shares, Until: until}
 		if name == storeLedger {
-			g.writes.SetLimitAt(now, rate.Limit(allotter.Writes(storeWrites).In(shares)))
+			rights.Store = right
 			continue
 		}
-		rights.Regions[name] = allotter.Right{Shares: shares, Until: until}
+		rights.Regions[name] = right
 	}
 	g.o.Slots.Install(g.plan, rights)
 	g.o.Links.Install(g.plan, rights)
@@ -239,11 +241,6 @@
 	return out
 }
 
-// Writes returns the figure of the limit on the store's writes.
-func (g *Granter) Writes() allotter.Figure {
-	return allotter.Figure{Name: allotter.StoreLimit, Total: storeWrites, Held: int64(g.writes.Limit()), Used: 0}
-}
-
 func isLink(limit string) bool { return strings.HasPrefix(limit, allotter.LinkLimit("")) }
 
 func (g *Granter) gate(limit string) Gate {
--- a/internal/process/granter/ledger.go
+++ b/internal/process/granter/ledger.go
@@ -14,10 +14,8 @@
 const (
 	// fastPoll is the time between reads of a ledger in which shares move.
 	fastPoll = 250 * time.Millisecond
-	// slowPoll is the time between reads of a settled ledger by a fleet of up
-	// to pollers hosts; it grows with the fleet beyond that.
-	slowPoll = 5 * time.Second
-	pollers  = 25
+	// fastHolders is the largest ledger that is read so often.
+	fastHolders = 32
 	// maxBackoff bounds the time between reads while the store fails.
 	maxBackoff   = time.Minute
 	storeTimeout = 5 * time.Second
@@ -121,17 +119,17 @@
 	now := time.Now()
 	l.allotter.Expect(hosts)
 	held, _ := l.allotter.Held(now)
-	var used allotter.Set
+	used := g.o.Links.UsedWrites(held)
 	if l.name != storeLedger {
-		used = g.o.Slots.Used(l.name, held)
+		used = g.o.Slots.Used(l.name, held) | g.o.Links.Used(l.name, held)
 	}
 	write, ok := l.allotter.Step(now, used)
 	g.install(now)
 	return write, ok
 }
 
-// pause returns the time to the next read: short while shares move or are
-// missing, else long enough for the whole fleet's reads to stay bounded.
+// pause returns the time to the next read. It is short while a host lacks
+// shares or gives some up, so that a start takes no longer than the store needs.
 func (g *Granter) pause(l *ledger) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -140,11 +138,12 @@
 	for _, h := range row.Holders {
 		moving = moving || h.Leaving != 0 || h.Shares == 0
 	}
-	if moving {
+	if moving && len(row.Holders) <= fastHolders {
 		return fastPoll/2 + rand.N(fastPoll)
 	}
-	period := slowPoll * time.Duration(max(1, len(row.Holders)/pollers))
-	return period/2 + rand.N(period)
+	now := time.Now()
+	wait := max(l.allotter.Due(now).Sub(now), fastPoll)
+	return wait/2 + rand.N(wait)
 }
 
 // copy asks the peers for their copy of the ledger, with which a restarted host
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/pacer"
 	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
 	"dandeliontrack.example/dandeliontrack/internal/process/allotter"
 	"dandeliontrack.example/dandeliontrack/internal/process/claimer"
@@ -203,6 +204,12 @@
 	}
 }
 
+// writes is the claimer's share of the store's writes.
+type writes struct{ pacer *pacer.Pacer }
+
+// Allow implements claimer.Budget.
+func (w writes) Allow(now time.Time, n int) bool { return w.pacer.AllowWrites(now, n) }
+
 // slots is where slots are counted, with the connections that go with them.
 type slots struct {
 	*admitter.Admitter
@@ -227,7 +234,7 @@
 
 // Figures implements controller.Limits.
 func (l linkFigures) Figures() []allotter.Figure {
-	out := []allotter.Figure{l.p.granter.Writes()}
+	out := []allotter.Figure{l.p.pacer.Writes(time.Now())}
 	for _, link := range l.p.holder.Plan().Links() {
 		out = append(out, l.p.pacer.Figure(link))
 	}
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -73,6 +73,7 @@
 	recorder    *recorder.Recorder
 	meter       *meter.Meter
 
+	last  uint64        // version installed before, used by the holder's hook only
 	dirty chan struct{} // has a token when refreshHosts is due
 
 	mu     sync.Mutex
@@ -119,7 +120,7 @@
 		Store: store, Caller: p.gossiper, Peers: p.peers, Slots: slots{p.admitter, p.pool}, Links: p.pacer, Log: log,
 		OnReady: func() { p.meet(drainer.Shares) },
 	})
-	p.claimer = claimer.New(store, p.granter, s.Name)
+	p.claimer = claimer.New(store, writes{p.pacer}, s.Name)
 	p.weigher = weigher.New(p.shifter, p.gauger, store, p.gossiper, p.peers)
 	p.prober = prober.New(transport(), p.gauger, p.tellLeaving)
 	p.router = router.New(p.admitter, p.shifter, p.gauger, router.Place{Region: s.Region, Zone: s.Zone})
@@ -203,7 +204,9 @@
 	p.meter.Add(meter.Installs, 1)
 	p.touch()
 	p.log.Event(logger.VersionInstalled).Uint64("version", plan.Version()).Str("id", plan.ID()).Send()
-	if snapshotter.Due(plan.Version()) && snapshotter.Chosen(plan.Version(), p.settings.Name, p.memberNames()) {
+	before := p.last
+	p.last = plan.Version()
+	if snapshotter.Due(before, plan.Version()) && snapshotter.Chosen(plan.Version(), p.settings.Name, p.memberNames()) {
 		go p.snapshot(plan)
 	}
 }
