--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/base64"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -107,6 +109,45 @@
 	}
 }
 
+type paced struct {
+	link           string
+	read, reserved int64
+	room           int
+}
+
+func (p *paced) Reader(_ context.Context, l *planner.Link, _ planner.Class, r io.Reader) io.Reader {
+	p.link = l.Name()
+	return io.TeeReader(r, p)
+}
+
+func (p *paced) Write(b []byte) (int, error) {
+	p.read += int64(len(b))
+	return len(b), nil
+}
+
+func (p *paced) Reserve(_ *planner.Link, rate int64) (func(), bool) {
+	if p.room--; p.room < 0 {
+		return nil, false
+	}
+	p.reserved += rate
+	return func() { p.reserved -= rate }, true
+}
+
+// Guards against answers that bypass the limit of a link, and against downloads
+// that keep their reservation or start without one.
+func TestPaced(t *testing.T) {
+	g := wired(t, file(`"v1"`))
+	p := &paced{room: 1}
+	g.f.options.Region, g.f.options.Pacer = "cnx", p
+	_, body, err := g.do(t, g.request(t, http.MethodGet, "/s/docs/f", ""))
+	assert.NilError(t, err)
+	<-g.traces
+	assert.Equal(t, p.read, int64(len(body)))
+	assert.Equal(t, p.link, "bkk/cnx")
+	assert.Equal(t, p.reserved, int64(0))
+	g.refused(t, g.request(t, http.MethodGet, "/s/docs/f", ""), classifier.Overloaded)
+}
+
 // Guards against an answer whose end cannot be told from a broken connection.
 func TestUnending(t *testing.T) {
 	g := &rig{network: network{wires: true}}
--- a/internal/request/forwarder/rig_test.go
+++ b/internal/request/forwarder/rig_test.go
@@ -209,12 +209,14 @@
 // "docs" has class download, "prices" lookup, both echo.
 func newRig(t testing.TB, g *rig, upstreams ...string) {
 	t.Helper()
-	region := noter.Region{Name: "bkk", Zones: []string{"bkk-a"}, Slots: 100}
-	items := noter.Items{Regions: []noter.Region{region}}
+	items := noter.Items{
+		Regions: []noter.Region{{Name: "bkk", Zones: []string{"bkk-a"}, Slots: 100}, {Name: "cnx", Zones: []string{"cnx-a"}, Slots: 100}},
+		Links:   []noter.Link{{From: "bkk", To: "cnx", Rate: 1 << 30}, {From: "cnx", To: "bkk", Rate: 1 << 30}},
+	}
 	for _, s := range []struct{ name, class string }{{"docs", "download"}, {"prices", "lookup"}} {
 		items.Services = append(items.Services, noter.Service{
 			Name: s.name, Class: s.class, Shares: map[string]int{"bkk": 1}, Hedge: true, Echo: true,
-			Cap: noter.Cap{Fraction: 0.1, Every: noter.Duration(time.Second)}, Timeout: noter.Duration(time.Minute),
+			Cap: noter.Cap{Fraction: 0.1, Every: noter.Duration(time.Second)}, Timeout: noter.Duration(time.Minute), Minimum: 1000,
 			Routes: []noter.Route{{Method: "POST", Prefix: "/repeatable", Class: "lookup"}},
 		})
 	}
