Show that the checker sees what runs past the hosts

The test before fed the checker itself. Requests sent straight to upstreams now have to break promises 2, 5 and 6. Starting waits while the first host is not ready to publish.

--- a/internal/process/deployer/deployer.go
+++ b/internal/process/deployer/deployer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +26,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/worker"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
+	"dandeliontrack.example/dandeliontrack/pkg/api"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -195,7 +197,7 @@
 	if err := first.start(ctx); err != nil {
 		return err
 	}
-	if _, err := d.Publish(ctx, first, d.note); err != nil {
+	if err := d.publishFirst(ctx, first); err != nil {
 		return err
 	}
 	g, gctx := errgroup.WithContext(ctx)
@@ -212,6 +214,23 @@
 	return d.WaitVersion(ctx, 1)
 }
 
+// publishFirst publishes the first version, again while the host that just
+// started is not ready to.
+func (d *Deployer) publishFirst(ctx context.Context, h *Host) error {
+	for {
+		_, err := d.Publish(ctx, h, d.note)
+		var refusal *api.RefusalStatusCode
+		if !errors.As(err, &refusal) || refusal.Response.Kind != classifier.NotReady.String() {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return classifier.NotReady.Wrap(ctx.Err(), "host "+h.Name())
+		case <-time.After(poll):
+		}
+	}
+}
+
 // Stop stops the hosts gracefully, then the stand-ins. At the end of ctx the
 // rest is left to the end of the process.
 func (d *Deployer) Stop(ctx context.Context) error {
--- a/internal/process/deployer/deployer_test.go
+++ b/internal/process/deployer/deployer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +13,8 @@
 	"dandeliontrack.example/dandeliontrack/internal/checker"
 	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
 	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/version/noter"
+	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -53,22 +57,37 @@
 	}
 }
 
-// Guards against a deployment in which the checker sees nothing: a fault of
-// every upstream of a service has to be reported.
-func TestCheckerSeesFaults(t *testing.T) {
-	d := start(t, deployer.Options{Deployment: "campos", Hosts: 1, Immediate: true, Lifetime: 100 * time.Millisecond})
-	for _, u := range d.Plan().Service("listings-web").Upstreams() {
-		d.Drain(u.Name())
-		d.Worker(u.Name()).ChangeFaults(func(f *worker.Faults) { f.Fail = true })
+// Guards against a deployment whose checker sees nothing of what runs at the
+// upstreams: requests that pass by the hosts break promises 2, 5 and 6.
+func TestCheckerSeesUpstreams(t *testing.T) {
+	bounds := checker.Bounds{Leave: time.Nanosecond, Spread: checker.DefaultBounds.Spread}
+	d := start(t, deployer.Options{Deployment: "campos", Hosts: 1, Immediate: true, Lifetime: 100 * time.Millisecond, Bounds: bounds})
+	post := func(u *planner.Upstream, key string) {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+u.Address()+"/x", http.NoBody)
+		assert.Check(t, err)
+		req.Header.Set("Request-Id", key+u.Name())
+		req.Header.Set("Idempotency-Key", key)
+		resp, err := http.DefaultClient.Do(req)
+		if assert.Check(t, err) {
+			assert.Check(t, resp.Body.Close())
+		}
 	}
-	var late time.Duration
-	d.Check(func(c *checker.Checker) {
-		name := d.Plan().Service("listings-web").Upstreams()[0].Name()
-		late = checker.DefaultBounds.Leave + time.Second
-		c.Ran(checker.Ran{At: time.Now().Add(late), Upstream: name, ID: "late"})
-	})
-	assert.Equal(t, len(d.Breaches()), 1)
-	assert.Equal(t, d.Breaches()[0].Promise, checker.Leaving)
+	ups := d.Plan().Service("deposits-desk").Upstreams()
+	post(ups[0], "k")
+	post(ups[1], "k")
+	d.Drain(ups[2].Name())
+	post(ups[2], "late")
+	d.Worker(ups[3].Name()).SetFaults(worker.Faults{Late: noter.Duration(300 * time.Millisecond)})
+	var wg sync.WaitGroup
+	for i := range ups[3].Slots() + 1 {
+		wg.Go(func() { post(ups[3], strconv.Itoa(i)) })
+	}
+	wg.Wait()
+	var got []checker.Promise
+	for _, b := range d.Breaches() {
+		got = append(got, b.Promise)
+	}
+	assert.DeepEqual(t, got, []checker.Promise{checker.Once, checker.Leaving, checker.Overload})
 }
 
 // Guards against a host that can't start again on its address.
--- a/internal/process/worker/worker_test.go
+++ b/internal/process/worker/worker_test.go
@@ -180,6 +180,23 @@
 	assert.Equal(t, w.Counts().Ran, 2)
 }
 
+// Guards against a slot that is still taken when its answer is complete: a
+// caller that uses it for its next request would be shed for no reason.
+func TestSlotIsFreeAfterAnswer(t *testing.T) {
+	w := worker.NewFrom(worker.Settings{Name: "u", Slots: 1, Size: 64 << 10})
+	server := httptest.NewServer(w)
+	defer server.Close()
+	for range 300 {
+		resp, err := server.Client().Get(server.URL)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, w.Counts().Offered, 1)
+}
+
 // Guards against readings that are current although a lag is set, and against
 // a start that is as fast as later work.
 func TestLagAndColdStart(t *testing.T) {
