--- a/internal/process/worker/worker_test.go
+++ b/internal/process/worker/worker_test.go
@@ -186,8 +186,11 @@
 	w := worker.NewFrom(worker.Settings{Name: "u", Slots: 1, Size: 64 << 10})
 	server := httptest.NewServer(w)
 	defer server.Close()
-	for range 300 {
-		resp, err := server.Client().Get(server.URL)
+	// A connection serves one request after the other by itself, so the
+	// requests alternate between two.
+	clients := []*http.Client{{Transport: new(http.Transport)}, {Transport: new(http.Transport)}}
+	for i := range 2000 {
+		resp, err := clients[i%2].Get(server.URL)
 		assert.NilError(t, err)
 		_, err = io.Copy(io.Discard, resp.Body)
 		assert.NilError(t, err)
