--- a/internal/process/worker/worker_test.go
+++ b/internal/process/worker/worker_test.go
@@ -180,6 +180,26 @@
 	assert.Equal(t, w.Counts().Ran, 2)
 }
 
+// Guards against a slot that is still taken when its answer is complete: a
+// caller that uses it for its next request would be shed for no reason.
+func TestSlotIsFreeAfterAnswer(t *testing.T) {
+	w := worker.NewFrom(worker.Settings{Name: "u", Slots: 1, Size: 64 << 10})
+	server := httptest.NewServer(w)
+	defer server.Close()
+	// A connection serves one request after the other by itself, so the
+	// requests alternate between two.
+	clients := []*http.Client{{Transport: new(http.Transport)}, {Transport: new(http.Transport)}}
+	for i := range 2000 {
+		resp, err := clients[i%2].Get(server.URL)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, w.Counts().Offered, 1)
+}
+
 // Guards against readings that are current although a lag is set, and against
 // a start that is as fast as later work.
 func TestLagAndColdStart(t *testing.T) {
