--- a/internal/process/granter/ledger.go
+++ b/internal/process/granter/ledger.go
@@ -85,6 +85,9 @@
 			outcome = allotter.Conflict
 		}
 	}
+	if outcome == allotter.Accepted {
+		g.announce(l, write.Action)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -94,6 +97,23 @@
 	return rand.N(fastPoll / 5)
 }
 
+// announce makes the peers read the row soon after a write that they have to
+// act on, so that shares move in seconds and not at the pace of their reads.
+func (g *Granter) announce(l *ledger, action allotter.Action) {
+	switch action {
+	case allotter.Acknowledge, allotter.Prolong, allotter.Take:
+		return
+	}
+	for _, address := range g.o.Peers() {
+		g.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+			defer cancel()
+			// A peer that misses it reads the row at its own pace.
+			_, _ = g.o.Caller.Call(ctx, address, &framer.Envelope{Body: &framer.Envelope_Ledger{Ledger: &framer.Ledger{Region: l.name}}})
+		})
+	}
+}
+
 func (g *Granter) read(ctx context.Context, l *ledger) error {
 	sent := time.Now()
 	row, err := g.o.Store.Get(ctx, l.key())
@@ -178,7 +198,8 @@
 	g.install(time.Now())
 }
 
-// offer answers a peer that asks for a copy of the ledger.
+// offer answers a peer that asks for a copy of the ledger, or that says without
+// an address that the ledger has changed.
 func (g *Granter) offer(ask *framer.Ledger) *framer.Ledger {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -187,6 +208,10 @@
 	if l == nil {
 		return answer
 	}
+	if ask.Address == "" {
+		l.nudge()
+		return answer
+	}
 	raw, revision, age, ok := l.allotter.Offer(time.Now(), ask.Address)
 	if ok {
 		answer.Row, answer.Revision = raw, revision
