Give every host some slots of each service in each region

Cause: a download waited in the queue for its 40 min timeout at a host that held no slot of its service in the drawn region: slots of one service lie at neighbouring shares, hosts held neighbouring shares, and loans are too short for downloads. Change: hosts take shares at even distances; slot offsets run for each service and region; a request that waiting can't help goes to another region within the cap or is refused as not run; the client tries the next host at once.

--- a/internal/process/allotter/set.go
+++ b/internal/process/allotter/set.go
@@ -43,12 +43,26 @@
 	return out
 }
 
-// last returns the n highest shares of the set, or all if it has fewer.
-func (s Set) last(n int) Set {
-	if n >= s.Len() {
+// spread returns n shares of the set at even distances, or all if it has fewer.
+// Slots of one service lie at neighbouring shares, so hosts whose shares are
+// spread have some slots of every service.
+func (s Set) spread(n int) Set {
+	size := s.Len()
+	if n >= size {
 		return s
 	}
-	return s &^ s.first(s.Len()-n)
+	var out Set
+	at := 0
+	for i := range S {
+		if !s.Has(i) {
+			continue
+		}
+		if at*max(n, 0)/size != (at+1)*max(n, 0)/size {
+			out |= 1 << i
+		}
+		at++
+	}
+	return out
 }
 
 // MarshalJSON writes the list of share numbers.
--- a/internal/process/allotter/step.go
+++ b/internal/process/allotter/step.go
@@ -103,7 +103,7 @@
 	if len(r.Holders) < a.expected {
 		target = min(target, S/a.expected)
 	}
-	return r.Free().first(target - r.Holders[i].Shares.Len())
+	return r.Free().spread(target - r.Holders[i].Shares.Len())
 }
 
 // surplus returns the shares that the i-th holder should be leaving.
@@ -114,7 +114,7 @@
 	}
 	switch over := keeps(own) - r.target(i); {
 	case over > 0:
-		return own.Leaving | keep(own).last(over)
+		return own.Leaving | keep(own).spread(over)
 	case over < 0:
 		return own.Leaving &^ own.Leaving.first(-over)
 	}
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -15,6 +15,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
+	"dandeliontrack.example/dandeliontrack/internal/process/shifter"
 	"dandeliontrack.example/dandeliontrack/internal/request/admitter"
 	"dandeliontrack.example/dandeliontrack/internal/request/forwarder"
 	"dandeliontrack.example/dandeliontrack/internal/request/retrier"
@@ -50,6 +51,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if choice.Upstream() == nil && !b.owns(now, q, choice.Region()) {
+		region := choice.Region().Name()
+		rq.Late = true
+		if choice, err = b.p.router.Choose(now, &rq); err != nil {
+			return nil, classifier.Shifting.New("this host has no slot of service %s in region %s, and the cap allows no other region", q.Service.Name(), region)
+		}
+	}
 	if choice.Upstream() == nil {
 		return nil, classifier.Overloaded.New("no free slot in region %s", choice.Region().Name())
 	}
@@ -57,6 +65,23 @@
 	return choice.Upstream(), nil
 }
 
+// owns reports whether waiting for a slot in the region can help at all.
+func (b bridge) owns(now time.Time, q *forwarder.Query, r *planner.Region) bool {
+	for _, u := range q.Service.UpstreamsIn(r.Index()) {
+		if b.p.admitter.Owns(u, q.Class) && b.p.gauger.Read(u, now).Usable() {
+			return true
+		}
+	}
+	return false
+}
+
+// weights are the shifter's. Requests are counted when they arrive, because the
+// router is asked again for each attempt and after each wait.
+type weights struct{ *shifter.Shifter }
+
+// Count implements router.Weights.
+func (weights) Count(*planner.Service) {}
+
 // ticket is an admitted request. It tells the admitter how long the slot was
 // held.
 type ticket struct {
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -319,6 +319,22 @@
 	return int(min(p.level.left(), p.region.left()))
 }
 
+// Owns reports whether a unit of the upstream can become free for the class at
+// all: a download outlasts every loan, so it needs one of the host's own.
+func (a *Admitter) Owns(u *planner.Upstream, class planner.Class) bool {
+	p := a.table.Load().find(u)
+	if p == nil {
+		return false
+	}
+	for _, l := range []*level{p.level, p.region} {
+		own := l.bound(class) > l.gate.lent.Load()
+		if !own && (class == planner.Download || len(l.loans) == 0) {
+			return false
+		}
+	}
+	return true
+}
+
 // Flight returns how many requests of this host are in flight at the upstream.
 func (a *Admitter) Flight(u *planner.Upstream) int {
 	p := a.table.Load().find(u)
--- a/internal/version/planner/source.go
+++ b/internal/version/planner/source.go
@@ -107,15 +107,17 @@
 	return nil
 }
 
-// assignOffsets gives each new upstream the running sum of its service's slots,
-// so that the slots of a service spread evenly over the shares of its limit.
+// assignOffsets gives each new upstream the running sum of its service's slots
+// in its region, so that the slots spread evenly over the shares of the limits
+// and every host has some of each service in each region.
 func (s *source) assignOffsets(n *noter.Note) {
 	for _, name := range n.Withdrawn.Upstreams {
 		delete(s.Offsets, name)
 	}
 	for _, u := range n.Added.Upstreams {
-		s.Offsets[u.Name] = s.Next[u.Service]
-		s.Next[u.Service] += u.Slots
+		place := u.Service + "/" + u.Region
+		s.Offsets[u.Name] = s.Next[place]
+		s.Next[place] += u.Slots
 	}
 }
 
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -151,7 +151,7 @@
 			}
 		}
 		resp, err = c.client.Do(out)
-		if attempt == maxAttempts-1 || !repeatable(req) || !notRun(resp, err) || !pause(ctx, resp) {
+		if attempt == maxAttempts-1 || !repeatable(req) || !notRun(resp, err) || !pause(ctx, resp, attempt) {
 			break
 		}
 	}
@@ -174,15 +174,16 @@
 	return err == nil && resp.StatusCode >= 500 && resp.Header.Get("Outcome") == classifier.NotRun.String()
 }
 
-// pause waits before the next attempt: at once after a failed dial, otherwise
-// as long as Retry-After says. It drops the refusal, and reports false if the
+// pause waits before the next attempt: not after a failed dial or the first
+// refusal, since the next host may have room, otherwise as long as Retry-After
+// says. It drops the refusal, and reports false if the
 // context ends before, in which case the refusal is kept.
-func pause(ctx context.Context, resp *http.Response) bool {
+func pause(ctx context.Context, resp *http.Response, attempt int) bool {
 	if resp == nil {
 		return ctx.Err() == nil
 	}
 	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil {
+	if err != nil || attempt == 0 {
 		seconds = 0
 	}
 	wait := min(time.Duration(seconds)*time.Second, maxWait)
