--- a/internal/process/deployer/tour.go
+++ b/internal/process/deployer/tour.go
@@ -97,6 +97,16 @@
 	return n
 }
 
+// firstBad returns " (first: ...)" for the first answer that is not whole.
+func firstBad(answers []Answer) string {
+	for _, a := range answers {
+		if !a.Whole() {
+			return fmt.Sprintf(" (first: %s after %v)", describe(a), a.Elapsed.Round(time.Millisecond))
+		}
+	}
+	return ""
+}
+
 func (d *Deployer) tourLookups(ctx context.Context) (string, bool) {
 	named := 0
 	for _, h := range d.hosts {
@@ -111,7 +121,7 @@
 	}
 	slices.Sort(times)
 	n := whole(answers)
-	return fmt.Sprintf("%d of 60 whole, median %v; %d of %d hosts name hosts", n, times[len(times)/2].Round(time.Millisecond), named, len(d.hosts)), n == 60 && named == len(d.hosts)
+	return fmt.Sprintf("%d of 60 whole%s, median %v; %d of %d hosts name hosts", n, firstBad(answers), times[len(times)/2].Round(time.Millisecond), named, len(d.hosts)), n == 60 && named == len(d.hosts)
 }
 
 func (d *Deployer) tourDownload(ctx context.Context) (string, bool) {
@@ -313,19 +323,20 @@
 	c := d.workers[name].Counts()
 	d.Return(name)
 	n := whole(long)
-	return fmt.Sprintf("%s: %d of %d new ones came after the sign, the last at %v; %d of %d long ones complete", name, c.Late, offered.Load(), time.Duration(c.Lag).Round(time.Millisecond), n, len(long)),
+	return fmt.Sprintf("%s: %d of %d new ones came after the sign, the last at %v; %d of %d long ones complete%s", name, c.Late, offered.Load(), time.Duration(c.Lag).Round(time.Millisecond), n, len(long), firstBad(long)),
 		time.Duration(c.Lag) <= d.options.Bounds.Leave && n == len(long)
 }
 
 func (d *Deployer) tourOutage(ctx context.Context) (string, bool) {
 	d.platform.SetDown(true)
 	defer d.platform.SetDown(false)
-	n := whole(d.lookups(ctx, 20, 4))
+	answers := d.lookups(ctx, 20, 4)
+	n := whole(answers)
 	key := uuid.NewString()
 	a := d.deposit(ctx, d.hosts[0], key)
 	// A dispatch after the refusal would be as wrong as one before it.
 	time.Sleep(time.Second)
 	runs := d.runs(key, a.ID)
-	return fmt.Sprintf("%d of 20 look-ups whole; deposit: %s, ran %d times", n, describe(a), runs),
+	return fmt.Sprintf("%d of 20 look-ups whole%s; deposit: %s, ran %d times", n, firstBad(answers), describe(a), runs),
 		n == 20 && a.Outcome == "not-run" && a.Kind == "store_down" && runs == 0
 }
