Take evenly spread shares at a start and decide waiting requests anew

Cause: hosts that started together took shares by the members they had heard of, passed them on to each other for seconds, and ended with neighbouring shares, so that some held no slot of a service. A request that waited for a slot was not woken when a ramp or health changed, and the router offered downloads the units that only look-ups may take. Change: a host expects the hosts on the platform's list, takes shares at equal distances, each class sees its own free units, and a waiting request is decided anew every 200 ms.

--- a/internal/process/allotter/allotter_test.go
+++ b/internal/process/allotter/allotter_test.go
@@ -338,3 +338,17 @@
 		}
 	})
 }
+
+// Guards against hosts that hold no slot of a service: 12 slots lie at the first
+// 12 shares, and each of up to 12 hosts needs one of them.
+func TestSpreadReachesEveryHalf(t *testing.T) {
+	for _, hosts := range []int{2, 3, 4, 6, 8, 12} {
+		free := All
+		for h := range hosts {
+			own := free.spread(S/hosts, 0)
+			free &^= own
+			assert.Equal(t, own.Len(), S/hosts)
+			assert.Assert(t, own&(1<<12-1) != 0, "host %d of %d holds %v", h, hosts, own)
+		}
+	}
+}
--- a/internal/process/allotter/set.go
+++ b/internal/process/allotter/set.go
@@ -43,26 +43,31 @@
 	return out
 }
 
-// spread returns n shares of the set at even distances, or all if it has fewer.
-// Slots of one service lie at neighbouring shares, so hosts whose shares are
-// spread have some slots of every service.
-func (s Set) spread(n int) Set {
-	size := s.Len()
-	if n >= size {
+// spread returns n shares of the set at even distances as far as it has them, or
+// all if it has fewer. It prefers distances at which own lies. Slots of one
+// service lie at neighbouring shares, so hosts whose shares are at even
+// distances have some slots of every service.
+func (s Set) spread(n int, own Set) Set {
+	if n >= s.Len() {
 		return s
 	}
-	var out Set
-	at := 0
-	for i := range S {
-		if !s.Has(i) {
-			continue
+	if n <= 0 {
+		return 0
+	}
+	step := max(S/(n+own.Len()), 1)
+	var best Set
+	most := -1
+	for r := range step {
+		var class Set
+		for i := r; i < S; i += step {
+			class |= 1 << i
 		}
-		if at*max(n, 0)/size != (at+1)*max(n, 0)/size {
-			out |= 1 << i
+		if score := 2*(class&own).Len() + (class & s).Len(); score > most {
+			best, most = class&s, score
 		}
-		at++
 	}
-	return out
+	best = best.first(n)
+	return best | (s &^ best).first(n-best.Len())
 }
 
 // MarshalJSON writes the list of share numbers.
--- a/internal/process/allotter/step.go
+++ b/internal/process/allotter/step.go
@@ -103,7 +103,8 @@
 	if len(r.Holders) < a.expected {
 		target = min(target, S/a.expected)
 	}
-	return r.Free().spread(target - r.Holders[i].Shares.Len())
+	own := r.Holders[i].Shares
+	return r.Free().spread(target-own.Len(), own)
 }
 
 // surplus returns the shares that the i-th holder should be leaving.
@@ -114,7 +115,7 @@
 	}
 	switch over := keeps(own) - r.target(i); {
 	case over > 0:
-		return own.Leaving | keep(own).spread(over)
+		return own.Leaving | keep(own)&^keep(own).spread(r.target(i), 0)
 	case over < 0:
 		return own.Leaving &^ own.Leaving.first(-over)
 	}
--- a/internal/process/granter/granter.go
+++ b/internal/process/granter/granter.go
@@ -65,9 +65,11 @@
 	Caller Caller
 	// Peers returns the peer addresses of the live members but this host.
 	Peers func() []string
-	Slots Slots
-	Links Links
-	Log   logger.Logger
+	// Expected returns how many hosts are live or about to start.
+	Expected func() int
+	Slots    Slots
+	Links    Links
+	Log      logger.Logger
 	// OnReady is called once, when the host holds shares of every ledger.
 	OnReady func()
 }
--- a/internal/process/granter/ledger.go
+++ b/internal/process/granter/ledger.go
@@ -133,7 +133,7 @@
 // propose returns the next write. The rights without the shares that a write
 // stops using are in force before it is sent.
 func (g *Granter) propose(l *ledger) (allotter.Write, bool) {
-	hosts := len(g.o.Peers()) + 1
+	hosts := g.o.Expected()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -24,6 +24,10 @@
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
+// recheck is how often a request that waits is decided anew. A slot that becomes
+// free wakes it at once; health, ramps and drains change without such an event.
+const recheck = 200 * time.Millisecond
+
 // shedPause is how long an upstream that shed a request gets no new work.
 const shedPause = time.Second
 
@@ -47,14 +51,15 @@
 			q.Steps.Add(now, recorder.Passed, pass.Region(), pass.Upstream(), pass.Reason())
 		}
 	}
-	choice, err := b.p.router.Choose(now, &rq)
+	routes := b.p.routers[q.Class]
+	choice, err := routes.Choose(now, &rq)
 	if err != nil {
 		return nil, err
 	}
 	if choice.Upstream() == nil && !b.owns(now, q, choice.Region()) {
 		region := choice.Region().Name()
 		rq.Late = true
-		if choice, err = b.p.router.Choose(now, &rq); err != nil {
+		if choice, err = routes.Choose(now, &rq); err != nil {
 			return nil, classifier.Shifting.New("this host has no slot of service %s in region %s, and the cap allows no other region", q.Service.Name(), region)
 		}
 	}
@@ -75,6 +80,15 @@
 	return false
 }
 
+// capacity gives the router the units that a class may take.
+type capacity struct {
+	*admitter.Admitter
+	class planner.Class
+}
+
+// Free implements router.Capacity.
+func (c capacity) Free(u *planner.Upstream) int { return c.FreeFor(u, c.class) }
+
 // weights are the shifter's. Requests are counted when they arrive, because the
 // router is asked again for each attempt and after each wait.
 type weights struct{ *shifter.Shifter }
@@ -110,7 +124,13 @@
 // Wait implements forwarder.Gate.
 func (b bridge) Wait(ctx context.Context, s *planner.Service, class planner.Class, deadline time.Time) error {
 	b.p.granter.Need(s)
-	return b.p.admitter.Wait(ctx, s, class, deadline)
+	round, cancel := context.WithTimeout(ctx, recheck)
+	defer cancel()
+	err := b.p.admitter.Wait(round, s, class, deadline)
+	if err != nil && round.Err() != nil && ctx.Err() == nil && time.Now().Before(deadline) {
+		return nil
+	}
+	return err
 }
 
 // Delay implements forwarder.Gate.
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -49,6 +49,7 @@
 	settings *settler.Settings
 	log      logger.Logger
 	store    *adapter.Adapter
+	began    time.Time
 	storeUp  atomic.Bool
 
 	holder      *holder.Holder
@@ -66,7 +67,7 @@
 	pool        *pool.Pool
 	pacer       *pacer.Pacer
 	admitter    *admitter.Admitter
-	router      *router.Router
+	routers     [planner.Classes]*router.Router // by class
 	retrier     *retrier.Retrier
 	finder      *finder.Finder
 	drainer     *drainer.Drainer
@@ -77,6 +78,7 @@
 	dirty chan struct{} // has a token when refreshHosts is due
 
 	mu     sync.Mutex
+	read   bool             // the list has been read
 	seen   map[string]sight // first sight of each ready host
 	listed []adapter.Entry  // the platform's list of hosts
 }
@@ -94,7 +96,7 @@
 	}
 	store := adapter.New(s.Platform.Table, s.Platform.Objects, s.Platform.Hosts, time.Duration(s.Platform.Timeout), transport())
 	p := &parts{
-		settings: s, log: log, store: store,
+		settings: s, log: log, store: store, began: now,
 		holder: new(holder.Holder), shifter: shifter.New(now), gauger: gauger.New(now),
 		pacer: new(pacer.Pacer), admitter: admitter.New(s.Limits.Queue), retrier: retrier.New(),
 		finder: new(finder.Finder), drainer: drainer.New(), recorder: recorder.New(), meter: meter.New(),
@@ -117,13 +119,16 @@
 	p.publisher.UseSnapshots(p.snapshotter)
 	p.granter = granter.New(granter.Options{
 		Self:  allotter.Identity{Address: s.Peer.Listen, Host: s.Name, Incarnation: self.Incarnation},
-		Store: store, Caller: p.gossiper, Peers: p.peers, Slots: slots{p.admitter, p.pool}, Links: p.pacer, Log: log,
+		Store: store, Caller: p.gossiper, Peers: p.peers, Expected: p.expected, Slots: slots{p.admitter, p.pool}, Links: p.pacer, Log: log,
 		OnReady: func() { p.meet(drainer.Shares) },
 	})
 	p.claimer = claimer.New(store, writes{p.pacer}, s.Name)
 	p.weigher = weigher.New(p.shifter, p.gauger, store, p.gossiper, p.peers)
 	p.prober = prober.New(transport(), p.gauger, p.tellLeaving)
-	p.router = router.New(p.admitter, weights{p.shifter}, p.gauger, router.Place{Region: s.Region, Zone: s.Zone})
+	for class := range p.routers {
+		units := capacity{p.admitter, planner.Class(class)}
+		p.routers[class] = router.New(units, weights{p.shifter}, p.gauger, router.Place{Region: s.Region, Zone: s.Zone})
+	}
 	p.holder.OnPrepare(p.prepare)
 	p.holder.OnInstall(p.installed)
 	p.gossiper.OnChange(p.changed)
@@ -193,7 +198,9 @@
 	now := time.Now()
 	p.gauger.Install(plan, now)
 	p.shifter.Install(plan, now)
-	p.router.Install(plan)
+	for _, r := range p.routers {
+		r.Install(plan)
+	}
 	p.retrier.Keep(plan)
 	p.granter.Install(plan)
 }
--- a/internal/process/runner/peers.go
+++ b/internal/process/runner/peers.go
@@ -7,6 +7,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
+	"dandeliontrack.example/dandeliontrack/internal/process/allotter"
 	"dandeliontrack.example/dandeliontrack/internal/process/detector"
 	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
@@ -21,6 +22,10 @@
 	listPeriod  = 10 * time.Second
 	listTimeout = 5 * time.Second
 	tellTimeout = time.Second
+	// listPatience is how long a start waits for the list of hosts.
+	listPatience = 2 * time.Second
+	// startTime is how long hosts on the list may take to start.
+	startTime = 30 * time.Second
 	// meshSize is the largest fleet in which a host talks to all others.
 	meshSize = 16
 )
@@ -95,6 +100,37 @@
 	return out
 }
 
+// expected returns how many hosts share the limits: the live members and, while
+// the fleet may be starting, those on the platform's list. Before the list is
+// known the host takes as little as it can, so that hosts that start together
+// need not pass shares on.
+func (p *parts) expected() int {
+	hosts := map[string]bool{p.settings.Peer.Listen: true}
+	for _, m := range p.gossiper.Members() {
+		if detector.State(m.State) == detector.Alive {
+			hosts[m.Address] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	age := time.Since(p.began)
+	if !p.read && age < listPatience {
+		return allotter.S
+	}
+	if age < startTime {
+		for _, e := range p.listed {
+			hosts[e.Address] = hosts[e.Address] || e.State != stateLeaving
+		}
+	}
+	n := 0
+	for _, live := range hosts {
+		if live {
+			n++
+		}
+	}
+	return min(n, allotter.S)
+}
+
 func (p *parts) memberNames() []string {
 	names := []string{p.settings.Name}
 	for _, m := range p.gossiper.Members() {
@@ -198,7 +234,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.listed = entries
+	p.listed, p.read = entries, true
 	p.mu.Unlock()
 	plan := p.holder.Plan()
 	for _, e := range entries {
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -299,10 +299,11 @@
 	}
 }
 
-// left returns the units that nothing uses.
-func (l *level) left() int64 {
-	n := max(l.own-l.gate.own.Load(), 0)
-	if len(l.loans) > 0 {
+// left returns the units that nothing uses and that the class may take. A
+// download outlasts every loan.
+func (l *level) left(class planner.Class) int64 {
+	n := max(l.bound(class)-l.gate.own.Load(), 0)
+	if len(l.loans) > 0 && class != planner.Download {
 		n += max(l.loans[len(l.loans)-1].units-l.gate.loan.Load(), 0)
 	}
 	return n
@@ -311,12 +312,15 @@
 // Free returns how many units this host may start at the upstream: the least of
 // the upstream and its region, under the rights last installed. It is never
 // negative. Try decides by time and class as well.
-func (a *Admitter) Free(u *planner.Upstream) int {
+func (a *Admitter) Free(u *planner.Upstream) int { return a.FreeFor(u, planner.Lookup) }
+
+// FreeFor is Free for a request of the class.
+func (a *Admitter) FreeFor(u *planner.Upstream, class planner.Class) int {
 	p := a.table.Load().find(u)
 	if p == nil {
 		return 0
 	}
-	return int(min(p.level.left(), p.region.left()))
+	return int(min(p.level.left(class), p.region.left(class)))
 }
 
 // Owns reports whether a unit of the upstream can become free for the class at
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -164,7 +164,7 @@
 // has to.
 func (x *exchange) admit() (*attempt, error) {
 	o := &x.f.options
-	for {
+	for round := 0; ; round++ {
 		now := time.Now()
 		if !now.Before(x.deadline) {
 			return nil, classifier.Expired.New("the deadline passed before dispatch")
@@ -176,7 +176,9 @@
 		if err != nil && classifier.Of(err) != classifier.Overloaded {
 			return nil, err
 		}
-		x.steps.Add(now, recorder.Queued, nil, nil, "no free unit")
+		if round == 0 {
+			x.steps.Add(now, recorder.Queued, nil, nil, "no free unit")
+		}
 		if err := o.Gate.Wait(x.context(), x.service, x.class, x.deadline); err != nil {
 			return nil, err
 		}
