Wait at most an hour for the acknowledgement of a dead holder

Cause: a new host at a new address got no part of the shares for 6 h when any machine in the ledger had died without an operator's word. Change: copies are offered only in the hour after a host's last write, so a holder silent for longer need not acknowledge. Ruled out: shorter leases, which end work in a long outage; counting the live hosts, which breaks the limits.

--- a/internal/process/allotter/allotter.go
+++ b/internal/process/allotter/allotter.go
@@ -40,6 +40,11 @@
 	// Rest is how long a restarted host waits for the loans that the process
 	// before it may have given, and for cancellation at upstreams (3 s).
 	Rest = lender.Longest + 3*time.Second
+	// Offerable is how long after its last write a host offers copies of the
+	// row. It is several times Renew, so that a short outage does not end it,
+	// and much less than Lease, because hosts that give shares up wait as long
+	// for the acknowledgement of one that is dead.
+	Offerable = time.Hour
 )
 
 // mechanism is a bit of Allotter.without.
@@ -258,13 +263,13 @@
 
 // Offer returns the copy for a restarted host on the address, with the age that
 // Copy needs. It offers only what this incarnation has read from the store
-// itself, and only while its own lease lasts: other holders wait for the
+// itself, and only for Offerable after its last write: other holders wait for the
 // acknowledgements of exactly these hosts before shares move.
 func (a *Allotter) Offer(now time.Time, address string) (raw []byte, revision string, age time.Duration, ok bool) {
 	s, seen := a.sights[address]
 	own := a.row.find(a.self.Address)
 	if !a.known || !seen || s.before.IsZero() || a.off || a.leaving || own < 0 ||
-		a.row.Holders[own].Incarnation != a.self.Incarnation || !now.Before(a.until) {
+		a.row.Holders[own].Incarnation != a.self.Incarnation || !now.Before(a.until.Add(a.shorten(Offerable)-a.shorten(Lease))) {
 		return nil, "", 0, false
 	}
 	raw, err := a.row.Encode()
--- a/internal/process/allotter/allotter_test.go
+++ b/internal/process/allotter/allotter_test.go
@@ -229,6 +229,16 @@
 				assert.Assert(t, all(w))
 			}
 		},
+		"new host while a holder is dead": func(t *testing.T, w *world) {
+			w.crash(w.hosts[3])
+			h := &host{address: "192.0.2.99:1"}
+			w.hosts = append(w.hosts, h)
+			w.start(h)
+			// Each of the three live holders gives one share up; the dead one
+			// keeps the share that it has above its part.
+			took := w.wait(t, time.Minute, bound(Offerable)+2*Renew, func() bool { return w.held(h) == 3 })
+			assert.Assert(t, took > Offerable/2)
+		},
 		"graceful stop": func(t *testing.T, w *world) {
 			w.hosts[3].Leave()
 			w.settle(t)
--- a/internal/process/allotter/step.go
+++ b/internal/process/allotter/step.go
@@ -53,11 +53,11 @@
 		a.rests = true
 		return Resume, true
 	}
-	if a.leaving && used == 0 && (own.Shares == 0 || own.Leaving == own.Shares && a.acknowledged(*next, i)) {
+	if a.leaving && used == 0 && (own.Shares == 0 || own.Leaving == own.Shares && a.acknowledged(now, *next, i)) {
 		next.Holders = slices.Delete(next.Holders, i, i+1)
 		return Release, true
 	}
-	if give := own.Leaving &^ used; !a.leaving && give != 0 && a.acknowledged(*next, i) && keeps(*own) >= next.target(i) {
+	if give := own.Leaving &^ used; !a.leaving && give != 0 && a.acknowledged(now, *next, i) && keeps(*own) >= next.target(i) {
 		own.Shares &^= give
 		own.Leaving &^= give
 		return Give, true
@@ -123,10 +123,15 @@
 }
 
 // acknowledged reports whether every other holder has written that it saw the
-// i-th holder's mark.
-func (a *Allotter) acknowledged(r Row, i int) bool {
+// i-th holder's mark. One that has written nothing for so long that it offers no
+// copies any more is not waited for, or a dead machine would keep a new one from
+// its shares until the lease ends.
+func (a *Allotter) acknowledged(now time.Time, r Row, i int) bool {
 	for j, h := range r.Holders {
-		if j != i && h.Seen < r.Holders[i].Mark && a.without&marks == 0 {
+		if j == i || h.Seen >= r.Holders[i].Mark || a.without&marks != 0 {
+			continue
+		}
+		if s, ok := a.sights[h.Address]; !ok || now.Sub(s.since) <= a.stretch(Offerable) {
 			return false
 		}
 	}
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -115,6 +115,7 @@
 	}
 	p.gossiper = gossiper.New(self, p.linker, p.seeds)
 	p.spreader = spreader.NewDriver(s.Name, s.Peer.Listen, p.holder, p.gossiper, p.publisher, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	p.spreader.UseLogger(log)
 	p.publisher.UsePeers(p.spreader)
 	p.publisher.UseSnapshots(p.snapshotter)
 	p.granter = granter.New(granter.Options{
