Let new requests wait behind waiting ones, and drop withdrawn upstreams

Cause: a new request could take the slot that a waiting one was woken for; the pool kept connections to withdrawn upstreams; a publication whose connection broke was reported as not accepted.

--- a/cmd/dandeliontrack/operate.go
+++ b/cmd/dandeliontrack/operate.go
@@ -7,6 +7,7 @@
 	stderrors "errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -77,7 +78,7 @@
 	defer cancel()
 	p, err := client.Publish(ctx, note)
 	if err != nil {
-		return remote(err)
+		return c.outcome(err)
 	}
 	f := &follower{client: client, version: p.Version, progress: io.Discard, deadline: time.Now().Add(c.Wait)}
 	if !c.JSON && term.IsTerminal(int(os.Stderr.Fd())) {
@@ -90,6 +91,17 @@
 	return c.report(p, hosts, missing)
 }
 
+// outcome gives the error of a publication. Only a host that could not be reached
+// at all certainly did not accept the note.
+func (c *publishCommand) outcome(err error) error {
+	var refusal *api.RefusalStatusCode
+	var dial *net.OpError
+	if stderrors.As(err, &refusal) || stderrors.As(err, &dial) && dial.Op == "dial" {
+		return remote(err)
+	}
+	return classifier.UnknownYet.Wrap(err, "the connection broke after the note was sent: publish the same note again")
+}
+
 func (c *publishCommand) report(p *api.Publication, hosts int, missing []string) error {
 	if c.JSON {
 		err := printJSON(map[string]any{
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -133,6 +133,11 @@
 	return err
 }
 
+// Queued implements forwarder.Gate.
+func (b bridge) Queued(s *planner.Service, class planner.Class) int {
+	return b.p.admitter.Queued(s, class)
+}
+
 // Delay implements forwarder.Gate.
 func (b bridge) Delay(s *planner.Service, class planner.Class) time.Duration {
 	return b.p.admitter.Delay(s, class)
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -74,8 +74,9 @@
 	recorder    *recorder.Recorder
 	meter       *meter.Meter
 
-	last  uint64        // version installed before, used by the holder's hook only
-	dirty chan struct{} // has a token when refreshHosts is due
+	addresses map[string]bool // of the upstreams in force, used by the holder's hook only
+	snapshots chan *planner.Plan
+	dirty     chan struct{} // has a token when refreshHosts is due
 
 	mu     sync.Mutex
 	read   bool             // the list has been read
@@ -100,7 +101,7 @@
 		holder: new(holder.Holder), shifter: shifter.New(now), gauger: gauger.New(now),
 		pacer: new(pacer.Pacer), admitter: admitter.New(s.Limits.Queue), retrier: retrier.New(),
 		finder: new(finder.Finder), drainer: drainer.New(), recorder: recorder.New(), meter: meter.New(),
-		snapshotter: snapshotter.New(store), seen: make(map[string]sight), dirty: make(chan struct{}, 1),
+		snapshotter: snapshotter.New(store), seen: make(map[string]sight), dirty: make(chan struct{}, 1), snapshots: make(chan *planner.Plan, 1),
 	}
 	var err error
 	if p.linker, err = linker.New(s.Peer, p.handle); err != nil {
@@ -181,10 +182,15 @@
 
 // start runs the parts until ctx ends.
 func (p *parts) start(ctx context.Context, g *errgroup.Group) {
-	plan := p.holder.Plan
+	plan, log := p.holder.Plan, p.log
 	for _, run := range []func(context.Context){
 		p.gossiper.Run, p.spreader.Run, p.granter.Run, p.claimer.Run, p.watchHosts, p.watchStart, p.refresh,
 		func(ctx context.Context) { p.weigher.Run(ctx, plan) },
+		func(ctx context.Context) {
+			p.snapshotter.Run(ctx, p.snapshots, p.settings.Name, p.memberNames, func(err error) {
+				log.Event(logger.StoreFailed).Err(err).Send()
+			})
+		},
 		func(ctx context.Context) { p.prober.Run(ctx, plan) },
 	} {
 		g.Go(func() error {
@@ -212,19 +218,26 @@
 	p.meter.Add(meter.Installs, 1)
 	p.touch()
 	p.log.Event(logger.VersionInstalled).Uint64("version", plan.Version()).Str("id", plan.ID()).Send()
-	before := p.last
-	p.last = plan.Version()
-	if snapshotter.Due(before, plan.Version()) && snapshotter.Chosen(plan.Version(), p.settings.Name, p.memberNames()) {
-		go p.snapshot(plan)
+	p.dropUpstreams(plan)
+	select {
+	case p.snapshots <- plan:
+	default:
+		// A snapshot is being written; the next version makes up for this one.
 	}
 }
 
-func (p *parts) snapshot(plan *planner.Plan) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	if err := p.snapshotter.Save(ctx, plan); err != nil {
-		p.log.Event(logger.StoreFailed).Err(err).Send()
+// dropUpstreams closes the connections to upstreams that the plan no longer has.
+func (p *parts) dropUpstreams(plan *planner.Plan) {
+	now := make(map[string]bool, len(plan.Upstreams()))
+	for _, u := range plan.Upstreams() {
+		now[u.Address()] = true
 	}
+	for address := range p.addresses {
+		if !now[address] {
+			p.pool.Remove(address)
+		}
+	}
+	p.addresses = now
 }
 
 func (p *parts) meet(c drainer.Condition) {
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -169,12 +169,14 @@
 		if !now.Before(x.deadline) {
 			return nil, classifier.Expired.New("the deadline passed before dispatch")
 		}
-		a, err := x.admitNow(now)
-		if a != nil {
-			return a, nil
-		}
-		if err != nil && classifier.Of(err) != classifier.Overloaded {
-			return nil, err
+		if round > 0 || o.Gate.Queued(x.service, x.class) == 0 {
+			a, err := x.admitNow(now)
+			if a != nil {
+				return a, nil
+			}
+			if err != nil && classifier.Of(err) != classifier.Overloaded {
+				return nil, err
+			}
 		}
 		if round == 0 {
 			x.steps.Add(now, recorder.Queued, nil, nil, "no free unit")
--- a/internal/request/forwarder/interfaces.go
+++ b/internal/request/forwarder/interfaces.go
@@ -41,6 +41,9 @@
 	// Wait returns nil when it is worth choosing again, or an error of kind
 	// Overloaded, Expired, Shifting or Stopping.
 	Wait(ctx context.Context, s *planner.Service, class planner.Class, deadline time.Time) error
+	// Queued returns how many requests of the class wait. A new request waits
+	// behind them.
+	Queued(s *planner.Service, class planner.Class) int
 	// Delay returns after what time a refused caller should try again.
 	Delay(s *planner.Service, class planner.Class) time.Duration
 }
@@ -159,6 +162,9 @@
 	return classifier.Overloaded.New("service %q: no upstream is free", s.Name())
 }
 
+// Queued implements Gate.
+func (open) Queued(*planner.Service, planner.Class) int { return 0 }
+
 // Delay implements Gate.
 func (open) Delay(*planner.Service, planner.Class) time.Duration { return time.Second }
 
--- a/internal/request/forwarder/rig_test.go
+++ b/internal/request/forwarder/rig_test.go
@@ -158,6 +158,8 @@
 	return open{}.Wait(ctx, s, c, d)
 }
 
+func (g *rig) Queued(*planner.Service, planner.Class) int { return 0 }
+
 func (g *rig) Delay(*planner.Service, planner.Class) time.Duration { return 1500 * time.Millisecond }
 func (g *rig) Count(time.Time, *planner.Service)                   {}
 func (g *rig) Hedge(*planner.Service) time.Duration                { return g.hedge }
