Refuse early while the store fails, and end a thrown-away deployment quietly

Change: a claim gives up after 1 s of failures; a stop that is cut short aborts the host; status says how many limits and upstreams need no attention.

--- a/cmd/dandeliontrack/dev.go
+++ b/cmd/dandeliontrack/dev.go
@@ -16,7 +16,7 @@
 
 const (
 	devStart = 30 * time.Second
-	devStop  = 10 * time.Second
+	devStop  = 4 * time.Second
 	// devLifetime is how long a host of `dev` serves after its stop began, so
 	// that the command ends soon after a signal.
 	devLifetime = time.Second
@@ -43,7 +43,9 @@
 	defer func() {
 		stopping, cancel := context.WithTimeout(context.Background(), devStop)
 		defer cancel()
-		if err := d.Stop(stopping); err != nil {
+		// Hosts that stop together wait for each other's shares. All of them are
+		// thrown away here, so that a stop cut short is no error.
+		if err := d.Stop(stopping); err != nil && classifier.Of(err) != classifier.Stopping {
 			fmt.Fprintf(out, "stop: %v\n", err)
 		}
 	}()
--- a/cmd/dandeliontrack/operate.go
+++ b/cmd/dandeliontrack/operate.go
@@ -211,11 +211,17 @@
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", m.Name, m.State, m.Version, m.Zone.Or(""), m.Reason.Or(""))
 	}
 	fmt.Fprintln(w, "\nlimit\ttotal\theld\tused\tlent\tborrowed")
+	quiet := 0
 	for _, l := range s.Limits {
-		if c.All || l.Used > attention*l.Held || l.Borrowed.Or(0) > 0 || l.Lent.Or(0) > 0 {
+		if !c.All && l.Used <= attention*l.Held && l.Borrowed.Or(0) == 0 && l.Lent.Or(0) == 0 {
+			quiet++
+		} else {
 			fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\n", l.Name, l.Total, l.Held, l.Used, l.Lent.Or(0), l.Borrowed.Or(0))
 		}
 	}
+	if quiet > 0 {
+		fmt.Fprintf(w, "%d limits below three quarters in use\n", quiet)
+	}
 	fmt.Fprintln(w, "\nservice\tregion\tweight now\ttarget")
 	for _, shift := range s.Shifts {
 		for _, weight := range shift.Weights {
@@ -223,11 +229,17 @@
 		}
 	}
 	fmt.Fprintln(w, "\nupstream\tstate\tin flight\treason")
+	quiet = 0
 	for _, u := range s.Upstreams {
-		if c.All || u.State != "ready" {
+		if !c.All && u.State == "ready" {
+			quiet++
+		} else {
 			fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", u.Name, u.State, u.Flight, u.Reason.Or(""))
 		}
 	}
+	if quiet > 0 {
+		fmt.Fprintf(w, "%d upstreams ready\n", quiet)
+	}
 	return w.Flush()
 }
 
--- a/internal/process/claimer/claimer.go
+++ b/internal/process/claimer/claimer.go
@@ -44,6 +44,9 @@
 	// recordWait bounds how long an answer waits for its outcome to be stored.
 	// After that the caller gets the answer and the store is tried again later.
 	recordWait = time.Second
+	// storePatience is how long a request waits for a store that fails. Most
+	// outages are longer, and the caller learns early that nothing ran.
+	storePatience = time.Second
 )
 
 // Store is what a Claimer needs of the platform.
@@ -155,7 +158,8 @@
 	claimer      *Claimer
 	claim        *Claim
 	poll         time.Duration
-	maybeWritten bool // a write of the claim may take effect
+	maybeWritten bool      // a write of the claim may take effect
+	failing      time.Time // first of the store's failures since it last answered
 	last         error
 }
 
@@ -166,12 +170,25 @@
 		if done || err != nil {
 			return answer, err
 		}
-		if !a.sleep(ctx) {
+		if a.hopeless(time.Now()) || !a.sleep(ctx) {
 			return nil, a.last
 		}
 	}
 }
 
+// hopeless reports whether the store has failed for so long that the request is
+// better refused.
+func (a *attempt) hopeless(now time.Time) bool {
+	if classifier.Of(a.last) != classifier.StoreDown {
+		a.failing = time.Time{}
+		return false
+	}
+	if a.failing.IsZero() {
+		a.failing = now
+	}
+	return now.Sub(a.failing) >= storePatience
+}
+
 // step reads the row and writes the claim if the key is free. It sets a.last
 // to what Begin reports if there is no time for another step.
 func (a *attempt) step(ctx context.Context) (done bool, answer *Answer, err error) {
--- a/internal/process/claimer/claimer_test.go
+++ b/internal/process/claimer/claimer_test.go
@@ -232,6 +232,19 @@
 	})
 }
 
+// Guards against callers that wait for their whole deadline while the store is
+// down, and against a refusal that is not "not run".
+func TestOutageIsToldEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.setDown(true)
+		start := time.Now()
+		_, _, err := begin(claimer.New(s, nil, "h1"), time.Minute, "f")
+		assert.Equal(t, classifier.Of(err), classifier.StoreDown)
+		assert.Assert(t, time.Since(start) < 3*time.Second)
+	})
+}
+
 // Guards against a known outcome that is lost when the store is down at the
 // end of the request, and against large answers that do not come back whole.
 func TestOutcomeSurvivesOutage(t *testing.T) {
--- a/internal/process/deployer/host.go
+++ b/internal/process/deployer/host.go
@@ -32,6 +32,7 @@
 	client   *api.Client
 	mu       sync.Mutex
 	cancel   context.CancelFunc
+	abort    func()
 	done     chan struct{}
 	err      error
 }
@@ -111,7 +112,7 @@
 	run, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	h.mu.Lock()
-	h.cancel, h.done, h.err = cancel, done, nil
+	h.cancel, h.done, h.err, h.abort = cancel, done, nil, r.Abort
 	h.mu.Unlock()
 	go func() {
 		defer close(done)
@@ -144,10 +145,11 @@
 	return h.err
 }
 
-// Stop stops the host gracefully and returns when it has ended.
+// Stop stops the host gracefully and returns when it has ended. At the end of ctx
+// the stop is cut short, which is an error of kind Stopping.
 func (h *Host) Stop(ctx context.Context) error {
 	h.mu.Lock()
-	cancel, done := h.cancel, h.done
+	cancel, done, abort := h.cancel, h.done, h.abort
 	h.mu.Unlock()
 	if cancel == nil {
 		return nil
@@ -159,6 +161,8 @@
 	case <-done:
 		return h.failure()
 	case <-ctx.Done():
+		abort()
+		<-done
 		return classifier.Stopping.Wrap(ctx.Err(), "host "+h.Name())
 	}
 }
