Count what the metrics page promises, and show the real target of a shift

Cause: dials, hedges, loans, peer and store traffic stood at 0 for ever because nothing counted them; status showed the operator's share as the target of a region under a drain. Change: counters read where the counting is done; the target comes from the shifter.

--- a/internal/process/controller/status.go
+++ b/internal/process/controller/status.go
@@ -83,10 +83,13 @@
 	out := []api.Shift{}
 	plan := c.Holder.Plan()
 	for _, s := range plan.Services() {
-		weights := c.Shifter.Weights(s)
+		weights, target := c.Shifter.Weights(s), c.Shifter.Target(s.Name())
 		shift := api.Shift{Service: s.Name(), Weights: []api.Weight{}}
 		for i, r := range plan.Regions() {
-			w := api.Weight{Region: r.Name(), Target: s.Shares()[i]}
+			w := api.Weight{Region: r.Name()}
+			if i < len(target) {
+				w.Target = target[i]
+			}
 			if i < len(weights) {
 				w.Effective = weights[i]
 			}
--- a/internal/process/granter/granter.go
+++ b/internal/process/granter/granter.go
@@ -72,6 +72,8 @@
 	Log      logger.Logger
 	// OnReady is called once, when the host holds shares of every ledger.
 	OnReady func()
+	// OnLoan is called for each loan taken.
+	OnLoan func()
 }
 
 // Granter obtains the rights of one host. It is safe for concurrent use.
--- a/internal/process/granter/loan.go
+++ b/internal/process/granter/loan.go
@@ -91,6 +91,7 @@
 	}
 	loan := lender.Loan{ID: l.Loan, Limit: l.Limit, Units: l.Units, Duration: time.Duration(l.Milliseconds) * time.Millisecond}
 	if g.lender.Answer(b.Serial, loan) {
+		g.o.OnLoan()
 		g.o.Log.Event(logger.LoanTaken).Str("limit", limit).Int64("units", l.Units).Str("lender", address).Send()
 		g.install(time.Now())
 	}
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -138,6 +138,11 @@
 	}
 }
 
+// Derive makes a counter show what f returns, for what is counted elsewhere.
+func (m *Meter) Derive(c Counter, f func() int64) {
+	m.vars.Set(string(c), expvar.Func(func() any { return f() }))
+}
+
 // Refuse counts a refusal of the kind with this name.
 func (m *Meter) Refuse(kind string) { m.kinds.Add(kind, 1) }
 
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -215,6 +216,7 @@
 	}
 	m.Add(meter.UpstreamBytes, t.Bytes)
 	m.Add(meter.Resumes, int64(t.Resumed))
+	m.Add(meter.Hedges, int64(t.Hedges))
 	b.p.recorder.Done(t.Steps, now, t.Status, outcome, t.Err)
 }
 
@@ -260,6 +262,26 @@
 // Allow implements claimer.Budget.
 func (w writes) Allow(now time.Time, n int) bool { return w.pacer.AllowWrites(now, n) }
 
+// storeCounter counts the operations of the platform's store.
+type storeCounter struct {
+	http.RoundTripper
+	meter *meter.Meter
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c storeCounter) RoundTrip(req *http.Request) (*http.Response, error) {
+	operation := meter.StoreReads
+	if req.Method != http.MethodGet {
+		operation = meter.StoreWrites
+	}
+	c.meter.Add(operation, 1)
+	resp, err := c.RoundTripper.RoundTrip(req)
+	if err != nil || resp.StatusCode >= http.StatusInternalServerError {
+		c.meter.Add(meter.StoreErrors, 1)
+	}
+	return resp, err
+}
+
 // slots is where slots are counted, with the connections that go with them.
 type slots struct {
 	*admitter.Admitter
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -95,12 +95,13 @@
 	transport := func() *http.Transport {
 		return &http.Transport{DialContext: n.dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	}
-	store := adapter.New(s.Platform.Table, s.Platform.Objects, s.Platform.Hosts, time.Duration(s.Platform.Timeout), transport())
+	count := meter.New()
+	store := adapter.New(s.Platform.Table, s.Platform.Objects, s.Platform.Hosts, time.Duration(s.Platform.Timeout), storeCounter{transport(), count})
 	p := &parts{
 		settings: s, log: log, store: store, began: now,
 		holder: new(holder.Holder), shifter: shifter.New(now), gauger: gauger.New(now),
 		pacer: new(pacer.Pacer), admitter: admitter.New(s.Limits.Queue), retrier: retrier.New(),
-		finder: new(finder.Finder), drainer: drainer.New(), recorder: recorder.New(), meter: meter.New(),
+		finder: new(finder.Finder), drainer: drainer.New(), recorder: recorder.New(), meter: count,
 		snapshotter: snapshotter.New(store), seen: make(map[string]sight), dirty: make(chan struct{}, 1), snapshots: make(chan *planner.Plan, 1),
 	}
 	var err error
@@ -123,6 +124,7 @@
 		Self:  allotter.Identity{Address: s.Peer.Listen, Host: s.Name, Incarnation: self.Incarnation},
 		Store: store, Caller: p.gossiper, Peers: p.peers, Expected: p.expected, Slots: slots{p.admitter, p.pool}, Links: p.pacer, Log: log,
 		OnReady: func() { p.meet(drainer.Shares) },
+		OnLoan:  func() { count.Add(meter.Loans, 1) },
 	})
 	p.claimer = claimer.New(store, writes{p.pacer}, s.Name)
 	p.weigher = weigher.New(p.shifter, p.gauger, store, p.gossiper, p.peers)
@@ -131,6 +133,9 @@
 		units := capacity{p.admitter, planner.Class(class)}
 		p.routers[class] = router.New(units, weights{p.shifter}, p.gauger, router.Place{Region: s.Region, Zone: s.Zone})
 	}
+	count.Derive(meter.Dials, func() int64 { return p.pool.Counts().Dials })
+	count.Derive(meter.PeerMessages, func() int64 { return int64(p.linker.Counts().MessagesOut) })
+	count.Derive(meter.PeerBytes, func() int64 { return int64(p.linker.Counts().BytesOut) })
 	p.holder.OnPrepare(p.prepare)
 	p.holder.OnInstall(p.installed)
 	p.gossiper.OnChange(p.changed)
--- a/internal/process/shifter/shifter.go
+++ b/internal/process/shifter/shifter.go
@@ -327,6 +327,17 @@
 	return n.weights[i]
 }
 
+// Target returns the weights that the service moves towards, by region index of
+// the plan last installed, or nil if the service is not known.
+func (s *Shifter) Target(service string) []float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.services[service]; st != nil {
+		return slices.Clone(st.target)
+	}
+	return nil
+}
+
 // Count records that a request of the service arrived. It is called once for
 // each request, before its first attempt.
 func (s *Shifter) Count(svc *planner.Service) {
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -50,6 +50,7 @@
 	trace        httptrace.ClientTrace
 	tries        int
 	resumed      int
+	hedges       int // read after extra is done
 	replayed     bool
 	status       int
 	bytes        int64
@@ -266,7 +267,7 @@
 	}
 	t := Trace{
 		ID: x.ids[0], Service: x.service, Class: x.class, Start: x.start, Took: time.Since(x.start),
-		Status: x.status, Bytes: x.bytes, Replayed: x.replayed, Resumed: x.resumed, Attempts: x.attempts, Steps: x.steps, Err: err,
+		Status: x.status, Bytes: x.bytes, Replayed: x.replayed, Resumed: x.resumed, Hedges: x.hedges, Attempts: x.attempts, Steps: x.steps, Err: err,
 	}
 	if x.customer != nil {
 		t.Customer = x.customer.Name()
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -124,6 +124,7 @@
 		if _, ok = x.f.options.Budget.Retry(now, x.service); ok {
 			b.prepare()
 			h.second = b
+			x.hedges++
 			return b
 		}
 	}
--- a/internal/request/forwarder/interfaces.go
+++ b/internal/request/forwarder/interfaces.go
@@ -132,6 +132,7 @@
 	Bytes    int64 // of the answer's body
 	Replayed bool  // a stored answer
 	Resumed  int
+	Hedges   int
 	Attempts []Attempt
 	Steps    *recorder.Trace
 	Err      error // nil for an answer that is complete
