--- a/cmd/dandeliontrack/operate.go
+++ b/cmd/dandeliontrack/operate.go
@@ -266,7 +266,11 @@
 		return printJSON(e)
 	}
 	fmt.Printf("request %s: service %s, class %s, version %d, host %s\n", e.Request, e.Service, e.Class, e.Version, e.Host.Or("?"))
-	fmt.Printf("status %d, outcome %s %s, after %s\n", e.Status.Or(0), e.Outcome, e.Kind.Or(""), e.Elapsed.Or("?"))
+	outcome := e.Outcome
+	if kind := e.Kind.Or(""); kind != "" {
+		outcome += " (" + kind + ")"
+	}
+	fmt.Printf("status %d, outcome %s, after %s\n", e.Status.Or(0), outcome, e.Elapsed.Or("?"))
 	if tightest := e.Tightest.Or(""); tightest != "" {
 		fmt.Printf("tightest limit: %s\n", tightest)
 	}
