--- a/internal/process/shifter/shifter.go
+++ b/internal/process/shifter/shifter.go
@@ -17,6 +17,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
