--- /dev/null
+++ b/internal/process/detector/bench_test.go
@@ -0,0 +1,80 @@
+package detector_test
+
+import (
+	"fmt"
+	"maps"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/detector"
+)
+
+func largeMember(i int) *framer.Member {
+	at := fmt.Sprintf("10.%d.%d.%d:7443", i%58, i>>8, i&255)
+	return &framer.Member{
+		Name: fmt.Sprintf("region-%02d-zone-%d-host-%04d", i%58, i%4, i), Address: at, Caller: at, Operator: at,
+		Region: fmt.Sprintf("region-%02d", i%58), Zone: fmt.Sprintf("region-%02d-zone-%d", i%58, i%4),
+		Incarnation: uint64(1_700_000_000_000_000_000 + i), Version: 30_000_000, Ready: true,
+	}
+}
+
+// fullView returns a view of all members, its heap bytes, and how long it took
+// to take them over from one answer.
+func fullView(list []*framer.Member, now time.Time) (d *detector.Detector, heap uint64, joined time.Duration) {
+	var before, after runtime.MemStats
+	d = detector.New(largeMember(0), now)
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	start := time.Now()
+	d.OnAll(list, now)
+	joined = time.Since(start)
+	d.Drain()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(list)
+	return d, after.HeapAlloc - before.HeapAlloc, joined
+}
+
+// Heap and message bytes of a member, and the time of the calls whose cost
+// grows with the fleet.
+func BenchmarkMembers(b *testing.B) {
+	for _, size := range []int{128, 1000, 5500} {
+		now := time.Unix(1, 0)
+		list, wire := make([]*framer.Member, 0, size), 0
+		for i := range size {
+			list = append(list, largeMember(i))
+			wire += proto.Size(list[i])
+		}
+		d, heap, joined := fullView(list, now)
+		calls := map[string]func(){
+			"updates": func() { d.Updates(8) }, "members": func() { d.Members() }, "neighbours": func() { d.Neighbours() },
+			"version": func() { list[1].Version++; d.OnMembers(list[1:2], now) },
+			"restart": func() { list[1].Incarnation++; d.OnMembers(list[1:2], now); d.Drain() },
+			// A new version makes all members news, and each is passed on.
+			"updates after version": func() {
+				for _, m := range list {
+					m.Version++
+				}
+				d.OnMembers(list, now)
+				d.Updates(8)
+			},
+		}
+		for _, name := range slices.Sorted(maps.Keys(calls)) {
+			b.Run(fmt.Sprintf("%d/%s", size, name), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					calls[name]()
+				}
+				b.ReportMetric(float64(heap)/float64(size), "heap-B/member")
+				b.ReportMetric(float64(wire)/float64(size), "wire-B/member")
+				b.ReportMetric(float64(joined.Microseconds()), "join-us")
+			})
+		}
+		runtime.KeepAlive(d)
+	}
+}
--- a/internal/process/snapshotter/bench_test.go
+++ b/internal/process/snapshotter/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -59,3 +61,51 @@
 		}
 	}
 }
+
+// Heap of a plan, size of its snapshot, and memory allocated by decoding it,
+// for each item. The differences between sizes are the slopes.
+func BenchmarkItem(b *testing.B) {
+	for _, size := range []int{0, 2400, 24_000, 96_000} {
+		for _, kind := range []string{"upstream", "site", "block"} {
+			b.Run(fmt.Sprintf("%s/%d", kind, size), func(b *testing.B) {
+				b.ReportAllocs()
+				var p *planner.Plan
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				p = itemPlan(b, kind, size)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				content, err := Encode(p)
+				assert.NilError(b, err)
+				for b.Loop() {
+					_, err := Decode(content)
+					assert.NilError(b, err)
+				}
+				b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "plan-heap-B")
+				b.ReportMetric(float64(len(content)), "snapshot-B")
+				runtime.KeepAlive(p)
+			})
+		}
+	}
+}
+
+func itemPlan(b *testing.B, kind string, size int) *planner.Plan {
+	b.Helper()
+	if kind == "upstream" {
+		return fleetPlan(b, size)
+	}
+	n := &noter.Note{ID: "second", Base: 1}
+	for i := range size {
+		if kind == "site" || i == 0 {
+			n.Added.Sites = append(n.Added.Sites, noter.Site{Name: fmt.Sprint("site-", i), Zone: "r0-a"})
+		}
+		if kind == "block" {
+			a := netip.AddrFrom4([4]byte{byte(16 + i>>16), byte(i >> 8), byte(i), 0})
+			n.Added.Blocks = append(n.Added.Blocks, noter.Block{Prefix: netip.PrefixFrom(a, 24), Site: "site-0"})
+		}
+	}
+	p, err := fleetPlan(b, 0).Apply(n)
+	assert.NilError(b, err)
+	return p
+}
