--- a/internal/process/deployer/call.go
+++ b/internal/process/deployer/call.go
@@ -76,8 +76,13 @@
 // Call sends a request to a host from a caller near it, reads the answer, and
 // feeds both to the checker.
 func (d *Deployer) Call(ctx context.Context, h *Host, r Request) Answer {
+	return d.CallAt(ctx, h.Caller(), h.Zone(), r)
+}
+
+// CallAt is Call for an address in a zone that need not be a host's.
+func (d *Deployer) CallAt(ctx context.Context, address, zone string, r Request) Answer {
 	a := Answer{ID: uuid.NewString()}
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+h.Caller()+"/s/"+r.Service+r.Path, bytes.NewReader(r.Body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+"/s/"+r.Service+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		a.Err = err
 		return a
@@ -99,7 +104,7 @@
 	d.Check(func(c *checker.Checker) {
 		c.Sent(checker.Sent{At: start, ID: a.ID, Service: r.Service, Customer: r.Customer, Key: r.Key, Once: once})
 	})
-	echo := d.receive(req, d.client(h.Zone()), &a)
+	echo := d.receive(req, d.client(zone), &a)
 	end := time.Now()
 	a.Elapsed = end.Sub(start)
 	d.Check(func(c *checker.Checker) {
--- a/internal/process/deployer/host.go
+++ b/internal/process/deployer/host.go
@@ -31,6 +31,8 @@
 	settings *settler.Settings
 	client   *api.Client
 	mu       sync.Mutex
+	runner   *runner.Runner
+	killed   bool
 	cancel   context.CancelFunc
 	done     chan struct{}
 	err      error
@@ -102,7 +104,7 @@
 func (h *Host) start(ctx context.Context) error {
 	d := h.deployer
 	level := zerolog.InfoLevel
-	r, err := runner.New(h.settings, logger.New(&lines{deployer: d, host: h.Name()}, level, h.Name()),
+	r, err := runner.New(h.settings, logger.New(&lines{deployer: d, host: h}, level, h.Name()),
 		runner.WithDial(d.delayer.Dialer(delayer.Place{Region: h.Region(), Zone: h.Zone()})),
 		runner.WithListen(d.listen))
 	if err != nil {
@@ -111,7 +113,7 @@
 	run, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	h.mu.Lock()
-	h.cancel, h.done, h.err = cancel, done, nil
+	h.runner, h.killed, h.cancel, h.done, h.err = r, false, cancel, done, nil
 	h.mu.Unlock()
 	go func() {
 		defer close(done)
@@ -163,10 +165,38 @@
 	}
 }
 
+// Kill ends the host at once, cutting off what is in flight, and returns when it
+// has ended. The platform's list still names it.
+func (h *Host) Kill(ctx context.Context) error {
+	h.mu.Lock()
+	r, cancel, done := h.runner, h.cancel, h.done
+	h.killed = true
+	h.mu.Unlock()
+	if cancel == nil {
+		return nil
+	}
+	h.deployer.Check(func(c *checker.Checker) { c.Stopped(h.Name()) })
+	cancel()
+	r.Abort()
+	select {
+	case <-done:
+		// The error names what was cut off, as was wanted.
+		return nil
+	case <-ctx.Done():
+		return classifier.Stopping.Wrap(ctx.Err(), "host "+h.Name())
+	}
+}
+
+func (h *Host) planned() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.killed
+}
+
 // lines receives the log lines of one host. It feeds work that a stop cut off.
 type lines struct {
 	deployer *Deployer
-	host     string
+	host     *Host
 }
 
 // Write implements io.Writer. A zerolog.Logger writes one line at a time.
@@ -180,7 +210,7 @@
 		if len(ids) == 0 {
 			ids = []string{"requests that the host doesn't name"}
 		}
-		l.deployer.Check(func(c *checker.Checker) { c.CutOff(time.Now(), l.host, true, ids...) })
+		l.deployer.Check(func(c *checker.Checker) { c.CutOff(time.Now(), l.host.Name(), l.host.planned(), ids...) })
 	}
 	if out := l.deployer.options.Log; out != nil {
 		l.deployer.mu.Lock()
