--- a/internal/process/measurer/experiment.go
+++ b/internal/process/measurer/experiment.go
@@ -77,7 +77,7 @@
 	To string `json:"to,omitempty"`
 }
 
-// Load reads and checks an experiment file. An error is of kind Unknown if there is
+// Read reads and checks an experiment file. An error is of kind Unknown if there is
 // no file, otherwise of kind Invalid.
 func Read(name string) (*Experiment, error) {
 	raw, err := os.ReadFile(name)
--- a/internal/process/measurer/measurer.go
+++ b/internal/process/measurer/measurer.go
@@ -21,8 +21,11 @@
 	// examples, and the measurements of the hosts settle before the load.
 	settleTime = 4 * time.Second
 	lifetime   = time.Second
-	// patience is how long a caller waits beyond the service's timeout.
+	// patience is how long a caller waits beyond the service's timeout, callTime
+	// the longest that it waits at all. A download has a timeout of 40 min, and a
+	// caller whose host is cut off would wait for it.
 	patience = time.Second
+	callTime = 15 * time.Second
 )
 
 // System is what serves the load.
@@ -161,7 +164,7 @@
 // no connection can be opened.
 func (r *run) send(ctx context.Context, a arrival) deployer.Answer {
 	s := r.plan.Service(a.load.Service)
-	ctx, cancel := context.WithTimeout(ctx, s.Timeout()+patience)
+	ctx, cancel := context.WithTimeout(ctx, min(s.Timeout()+patience, callTime))
 	defer cancel()
 	q := deployer.Request{Method: http.MethodGet, Service: s.Name(), Path: "/item/" + strconv.Itoa(a.number)}
 	if a.load.Size > 0 {
--- a/internal/process/measurer/measurer_test.go
+++ b/internal/process/measurer/measurer_test.go
@@ -105,7 +105,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		all := []arrival{{}, {at: time.Second, number: 1}, {at: 2 * time.Second, number: 2}}
 		begin := time.Now()
-		offer(t.Context(), all, func(a arrival) time.Duration {
+		offer(t.Context(), all, func(arrival) time.Duration {
 			sent := time.Since(begin)
 			time.Sleep(time.Minute)
 			return sent
