Give a missing experiment file the exit code of other missing files

Settings and release notes that can't be read exit with 2; so does measure now. Tests cover its exit codes and the bound on a caller's wait.

--- a/cmd/dandeliontrack/commands.go
+++ b/cmd/dandeliontrack/commands.go
@@ -35,7 +35,7 @@
 		{"lookup", "ask which hosts to use", "Asks a host which entry hosts a caller uses for a service, and prints them in order. Exits with 3 if the service is unknown and 6 if the host can't be reached.", new(lookupCommand)},
 		{"stand-in", "run stand-ins of the platform and of upstreams", "Runs the stand-ins that a file describes until SIGTERM or SIGINT. Faults are in the file or set with PUT /faults. A wrong file exits with 2 before a socket opens.", new(standInCommand)},
 		{"dev", "run a whole deployment in one process", "Runs a deployment on loopback with stand-ins of the platform and of all upstreams, and prints its addresses and what to try next, until SIGTERM or SIGINT. With --tour, runs a fixed sequence of steps instead, prints what was promised and seen for each, and exits with 1 if a promise was broken.", new(devCommand)},
-		{"measure", "run an experiment", "Runs an experiment file: load and faults against a whole deployment on loopback, once with the product's hosts and once with naive ones, and prints both side by side. See docs/measurements.md and examples/measure. Broken promises are part of the result and don't change the exit code. Exits with 2 if the file is wrong, 3 if there is no such file, and 6 if it is interrupted.", new(measureCommand)},
+		{"measure", "run an experiment", "Runs an experiment file: load and faults against a whole deployment on loopback, once with the product's hosts and once with naive ones, and prints both side by side. See docs/measurements.md and examples/measure. Broken promises are part of the result and don't change the exit code. Exits with 2 if the file is wrong or missing, and with 6 if it is interrupted.", new(measureCommand)},
 	}
 }
 
--- a/cmd/dandeliontrack/main_test.go
+++ b/cmd/dandeliontrack/main_test.go
@@ -32,6 +32,8 @@
 		"publish missing":     {[]string{"publish", "--to", "127.0.0.1:1", missing}, classifier.Invalid.Exit()},
 		"publish unreachable": {[]string{"publish", "--to", "127.0.0.1:1", "../../examples/campos/first.json"}, classifier.Unreachable.Exit()},
 		"lookup unreachable":  {[]string{"lookup", "--to", "127.0.0.1:1", "catalog"}, classifier.Unreachable.Exit()},
+		"measure missing":     {[]string{"measure", missing}, classifier.Invalid.Exit()},
+		"measure wrong chart": {[]string{"measure", "--svg", "x.png", "../../examples/measure/campos-calm.json"}, classifier.BadRequest.Exit()},
 		"dev unknown":         {[]string{"dev", "--deployment", "nowhere"}, classifier.BadRequest.Exit()},
 		"dev too many hosts":  {[]string{"dev", "--hosts", "13"}, classifier.BadRequest.Exit()},
 	} {
--- a/internal/process/measurer/experiment.go
+++ b/internal/process/measurer/experiment.go
@@ -77,12 +77,11 @@
 	To string `json:"to,omitempty"`
 }
 
-// Read reads and checks an experiment file. An error is of kind Unknown if there is
-// no file, otherwise of kind Invalid.
+// Read reads and checks an experiment file. An error is of kind Invalid.
 func Read(name string) (*Experiment, error) {
 	raw, err := os.ReadFile(name)
 	if err != nil {
-		return nil, classifier.Unknown.Wrap(err, "experiment")
+		return nil, classifier.Invalid.Wrap(err, "experiment")
 	}
 	return Parse(raw)
 }
--- a/internal/process/measurer/measurer.go
+++ b/internal/process/measurer/measurer.go
@@ -160,11 +160,14 @@
 	<-finished
 }
 
+// wait returns how long a caller waits for a service with this timeout.
+func wait(timeout time.Duration) time.Duration { return min(timeout+patience, callTime) }
+
 // send sends a request to the next host in turn, and to the following ones if
 // no connection can be opened.
 func (r *run) send(ctx context.Context, a arrival) deployer.Answer {
 	s := r.plan.Service(a.load.Service)
-	ctx, cancel := context.WithTimeout(ctx, min(s.Timeout()+patience, callTime))
+	ctx, cancel := context.WithTimeout(ctx, wait(s.Timeout()))
 	defer cancel()
 	q := deployer.Request{Method: http.MethodGet, Service: s.Name(), Path: "/item/" + strconv.Itoa(a.number)}
 	if a.load.Size > 0 {
--- a/internal/process/measurer/measurer_test.go
+++ b/internal/process/measurer/measurer_test.go
@@ -115,3 +115,10 @@
 		})
 	})
 }
+
+// Guards against a run that lasts as long as the timeout of a download, 40 min,
+// because the caller's host is cut off.
+func TestWaitIsBounded(t *testing.T) {
+	assert.Equal(t, wait(2*time.Second), 3*time.Second)
+	assert.Equal(t, wait(40*time.Minute), callTime)
+}
