--- a/internal/connection/delayer/delayer.go
+++ b/internal/connection/delayer/delayer.go
@@ -43,7 +43,7 @@
 // Delayer knows the places of addresses and the connections that it opened.
 type Delayer struct {
 	delays Delays
-	dialer net.Dialer
+	dial   DialFunc
 	mu     sync.Mutex
 	places map[string]Place
 	cut    map[Pair]bool
@@ -55,6 +55,7 @@
 func New(d Delays) *Delayer {
 	return &Delayer{
 		delays: d,
+		dial:   new(net.Dialer).DialContext,
 		places: make(map[string]Place),
 		cut:    make(map[Pair]bool),
 		bytes:  make(map[Pair]*atomic.Int64),
@@ -62,6 +63,10 @@
 	}
 }
 
+// UseDial makes the Delayer open the real connections with dial instead of a
+// net.Dialer. It must be called before the first dial.
+func (d *Delayer) UseDial(dial DialFunc) { d.dial = dial }
+
 // SetPlace says where the listener with this address is. Connections to other
 // addresses are neither delayed nor counted.
 func (d *Delayer) SetPlace(address string, p Place) {
@@ -93,7 +98,7 @@
 		isCut := known && d.cut[Pair{from.Region, to.Region}]
 		d.mu.Unlock()
 		if !known {
-			return d.dialer.DialContext(ctx, network, address)
+			return d.dial(ctx, network, address)
 		}
 		if isCut {
 			if err := sleep(ctx, dialTimeout); err != nil {
@@ -106,7 +111,7 @@
 		if err := sleep(ctx, 2*delay); err != nil {
 			return nil, err
 		}
-		raw, err := d.dialer.DialContext(ctx, network, address)
+		raw, err := d.dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
