--- a/internal/process/faulter/cells.go
+++ b/internal/process/faulter/cells.go
@@ -137,7 +137,7 @@
 const head = `# Faults and steps
 
 <!-- Generated from internal/process/faulter. Regenerate with
-go test ./internal/process/faulter -run TestPage -update -->
+WRITE_PAGE=1 go test -run TestPage ./internal/process/faulter -->
 
 For each fault of the design (1.4) and each step, this page names the tests that
 cause the fault at the step, or says why it cannot occur there, or names the
@@ -146,6 +146,10 @@
 of testing/synctest, six upstreams, the platform and three callers, in which the
 fault begins when the step is reached; the checker judges all eight promises.
 
+CI runs 15 cells of the fleet and 10 pairs of faults, drawn by a fixed seed.
+MATRIX=all go test -run TestEveryFault ./internal/process/faulter runs all of
+them, one fault after the other; it takes minutes.
+
 What the fleet does not show: all its processes share one clock, and a paused
 process only holds its bytes while its timers go on. Clocks that differ and
 pauses of all timers are tested at the parts (allotter, shifter, detector).
