Keep the unit of an attempt that was given up until its close arrives

Cause: a unit was free as soon as an attempt was cancelled (lost hedge, caller left, deadline, silent connection), while the upstream still worked on it. Change: the unit is given back 150 ms later. Conclusion: over a silent connection the upstream learns of it only at the deadline, so a download there can still exceed the slots.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -21,6 +21,10 @@
 // stallTime is how long the body of an answer may make no progress.
 const stallTime = 10 * time.Second
 
+// cancelTime is how long a unit stays taken after its request was given up. It
+// is more than twice the one-way delay of the longest link (55 ms, 1.5).
+const cancelTime = 150 * time.Millisecond
+
 // maxDrain bounds what is read of a refusal to keep its connection.
 const maxDrain = 4 << 10
 
@@ -247,10 +251,29 @@
 	if a.unreserve != nil {
 		a.unreserve()
 	}
-	a.ticket.Release(now)
+	if a.mayRun(err) {
+		time.AfterFunc(cancelTime, func() { a.ticket.Release(time.Now()) })
+	} else {
+		a.ticket.Release(now)
+	}
 	a.observe(now, err)
 }
 
+// mayRun reports whether the upstream may still work on an attempt that was
+// given up. It learns of that only when the close of the connection arrives, so
+// the unit stays taken until then. Otherwise a request on another connection
+// could overtake the close and exceed the upstream's slots.
+func (a *attempt) mayRun(err error) bool {
+	if err == nil || a.link == nil {
+		return false
+	}
+	switch classifier.Of(err) {
+	case classifier.Unreachable, classifier.Expired, classifier.Shed:
+		return false
+	}
+	return true
+}
+
 // drained reads a refusal to its end, so that its connection can be used again.
 func (a *attempt) drained(err error) bool {
 	if classifier.Of(err) != classifier.Shed {
