Record that hosts which join through one seed stay unknown to others

BenchmarkFleet waited for minutes until all hosts knew all others. The cause is that members learnt in a full exchange are not passed on.

--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -236,3 +236,24 @@
 		})
 	}
 }
+
+// Guards against hosts that start together with one seed and don't learn of
+// each other until the next full exchange, because a host that learns of
+// another by a full exchange does not pass it on.
+func TestHostsThatJoinThroughOneSeed(t *testing.T) {
+	for seed := range uint64(20) {
+		f := &fleet{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 24)), byAddr: make(map[string]*host), cut: func(int, int) bool { return false }}
+		for i := range 24 {
+			f.start(i, 1)
+		}
+		for _, i := range f.rng.Perm(23) {
+			f.exchange(f.hosts[i+1], f.hosts[0], true)
+		}
+		f.run(time.Minute)
+		missing := 0
+		for _, h := range f.hosts {
+			missing += 23 - len(h.d.Members())
+		}
+		assert.Check(t, missing == 0, "seed %d: %d members are unknown to others after a minute", seed, missing)
+	}
+}
