Let hosts that start together find each other

Cause: what came by a full exchange was not passed on, not even the sender itself, and updates about many new hosts crowd each other out, so hosts that joined through one seed stayed unknown to some for 5 min. Change: the sender of a full exchange is news; a new host repeats the exchange after 5 s, 10 s and so on up to 5 min. A host that comes back takes its ramp in look-ups again.

--- a/internal/process/detector/bench_test.go
+++ b/internal/process/detector/bench_test.go
@@ -31,7 +31,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	start := time.Now()
-	d.OnAll(list, now)
+	d.OnAll("", list, now)
 	joined = time.Since(start)
 	d.Drain()
 	runtime.GC()
--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -61,6 +61,10 @@
 	// fullPeriod is how often all members are exchanged with one neighbour,
 	// which repairs what updates missed.
 	fullPeriod = 5 * time.Minute
+	// firstFull is the time to the second full exchange of a new host; it
+	// doubles up to fullPeriod. Updates about many hosts that start together
+	// crowd each other out.
+	firstFull = 5 * time.Second
 	// reconnectPeriod is how often a host that is taken for dead is tried
 	// again, so that the two sides of a partition find each other.
 	reconnectPeriod = 10 * time.Second
@@ -108,6 +112,7 @@
 	timed       map[string]*member // those with a deadline
 	news        []*framer.Member   // changes that Drain has not returned yet
 	fullAt      time.Time
+	fullWait    time.Duration // to the full exchange after the next one
 	reconnectAt time.Time
 	retried     int
 }
@@ -125,7 +130,7 @@
 // self should be higher than that of an earlier process of the same name; if it
 // is not, the host raises it when it hears of the earlier one.
 func New(self *framer.Member, now time.Time) *Detector {
-	return &Detector{self: proto.CloneOf(self), members: make(map[string]*member), timed: make(map[string]*member), last: now, fullAt: now, reconnectAt: now}
+	return &Detector{self: proto.CloneOf(self), members: make(map[string]*member), timed: make(map[string]*member), last: now, fullAt: now, fullWait: firstFull, reconnectAt: now}
 }
 
 // Self returns a copy of what the host says of itself.
@@ -257,7 +262,8 @@
 	d.probe = probe{target: target.Name, helpAt: now.Add(d.scaled(ackTimeout)), end: now.Add(d.scaled(period))}
 	full := !now.Before(d.fullAt)
 	if full {
-		d.fullAt = now.Add(fullPeriod)
+		d.fullAt = now.Add(d.fullWait)
+		d.fullWait = min(2*d.fullWait, fullPeriod)
 	}
 	return []Probe{{target: target.Name, address: target.Address, full: full}}
 }
@@ -388,12 +394,13 @@
 	d.changed(m, now)
 }
 
-// OnAll merges the answer to a full probe. What it brings is known to others
-// and is not passed on again.
-func (d *Detector) OnAll(members []*framer.Member, now time.Time) {
+// OnAll merges a full probe of a member, or the answer to one. What it brings is
+// known to others and is not passed on again, but for the sender itself, which
+// may be new to all.
+func (d *Detector) OnAll(from string, members []*framer.Member, now time.Time) {
 	var fresh []string
 	for _, u := range members {
-		if _, known := d.members[u.Name]; !known {
+		if _, known := d.members[u.Name]; !known && u.Name != from {
 			fresh = append(fresh, u.Name)
 		}
 	}
--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -84,7 +84,7 @@
 		return false
 	}
 	if full {
-		b.d.OnAll(out, f.now)
+		b.d.OnAll(a.d.Self().Name, out, f.now)
 	} else {
 		b.d.OnMembers(out, f.now)
 	}
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -120,16 +120,16 @@
 	if err != nil {
 		return nil, err
 	}
-	g.merge(answer.Members, e.GetPing().GetFull())
+	g.merge(answer, e.GetPing().GetFull())
 	return answer, nil
 }
 
-func (g *Gossiper) merge(members []*framer.Member, full bool) {
+func (g *Gossiper) merge(e *framer.Envelope, full bool) {
 	g.mu.Lock()
 	if full {
-		g.detector.OnAll(members, time.Now())
+		g.detector.OnAll(e.From, e.Members, time.Now())
 	} else {
-		g.detector.OnMembers(members, time.Now())
+		g.detector.OnMembers(e.Members, time.Now())
 	}
 	news := g.detector.Drain()
 	g.mu.Unlock()
@@ -146,7 +146,7 @@
 
 // Accept takes the membership updates of an incoming envelope. Every incoming
 // envelope passes through it.
-func (g *Gossiper) Accept(e *framer.Envelope) { g.merge(e.Members, e.GetPing().GetFull()) }
+func (g *Gossiper) Accept(e *framer.Envelope) { g.merge(e, e.GetPing().GetFull()) }
 
 // Answer completes the answer to an incoming envelope.
 func (g *Gossiper) Answer(request, answer *framer.Envelope) *framer.Envelope {
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -79,15 +79,9 @@
 	dirty     chan struct{} // has a token when refreshHosts is due
 
 	mu     sync.Mutex
-	read   bool             // the list has been read
-	seen   map[string]sight // first sight of each ready host
-	listed []adapter.Entry  // the platform's list of hosts
-}
-
-// sight is when an incarnation of a host was first seen ready.
-type sight struct {
-	incarnation uint64
-	since       time.Time
+	read   bool                 // the list has been read
+	seen   map[string]time.Time // first sight of each ready host
+	listed []adapter.Entry      // the platform's list of hosts
 }
 
 func newParts(s *settler.Settings, log logger.Logger, n network) (*parts, error) {
@@ -102,7 +96,7 @@
 		holder: new(holder.Holder), shifter: shifter.New(now), gauger: gauger.New(now),
 		pacer: new(pacer.Pacer), admitter: admitter.New(s.Limits.Queue), retrier: retrier.New(),
 		finder: new(finder.Finder), drainer: drainer.New(), recorder: recorder.New(), meter: count,
-		snapshotter: snapshotter.New(store), seen: make(map[string]sight), dirty: make(chan struct{}, 1), snapshots: make(chan *planner.Plan, 1),
+		snapshotter: snapshotter.New(store), seen: make(map[string]time.Time), dirty: make(chan struct{}, 1), snapshots: make(chan *planner.Plan, 1),
 	}
 	var err error
 	if p.linker, err = linker.New(s.Peer, p.handle); err != nil {
--- a/internal/process/runner/peers.go
+++ b/internal/process/runner/peers.go
@@ -199,15 +199,20 @@
 	defer p.mu.Unlock()
 	var hosts []finder.Host
 	for _, m := range members {
-		if detector.State(m.State) != detector.Alive || !m.Ready || plan.Drained(planner.DrainHost, m.Name) || p.listedLeaving(m.Address) {
+		if detector.State(m.State) != detector.Alive || !m.Ready {
+			// A host that comes back takes load along the ramp again.
+			delete(p.seen, m.Name)
 			continue
 		}
-		s, ok := p.seen[m.Name]
-		if !ok || s.incarnation != m.Incarnation && !m.Ready {
-			s = sight{m.Incarnation, now}
-			p.seen[m.Name] = s
+		if plan.Drained(planner.DrainHost, m.Name) || p.listedLeaving(m.Address) {
+			continue
+		}
+		since, ok := p.seen[m.Name]
+		if !ok {
+			since = now
+			p.seen[m.Name] = since
 		}
-		hosts = append(hosts, finder.Host{Name: m.Name, Address: m.Caller, Region: m.Region, Zone: m.Zone, Since: s.since})
+		hosts = append(hosts, finder.Host{Name: m.Name, Address: m.Caller, Region: m.Region, Zone: m.Zone, Since: since})
 	}
 	p.finder.Install(hosts)
 }
