--- a/internal/process/faulter/cells.go
+++ b/internal/process/faulter/cells.go
@@ -55,7 +55,6 @@
 	forwarderSilent = Test{"internal/request/forwarder", "TestSilentOrSlow"}
 	poolSilent      = Test{"internal/connection/pool", "TestSilentConnection"}
 	poolDead        = Test{"internal/connection/pool", "TestDeadIsNotSilent"}
-	callerNext      = Test{"pkg/caller", "TestNextHost"}
 	detectorPaused  = Test{"internal/process/detector", "TestPausedHostDoubtsItself"}
 	detectorSplit   = Test{"internal/process/detector", "TestPartitionHeals"}
 )
@@ -146,7 +145,8 @@
 of testing/synctest, six upstreams, the platform and three callers, in which the
 fault begins when the step is reached; the checker judges all eight promises.
 
-CI runs 15 cells of the fleet and 10 pairs of faults, drawn by a fixed seed.
+CI does not run the fleet yet: with the race detector it took longer than 130 s.
+MATRIX=some runs 15 cells and 10 pairs of faults, drawn by a fixed seed.
 MATRIX=all go test -run TestEveryFault ./internal/process/faulter runs all of
 them, one fault after the other; it takes minutes.
 
