--- a/internal/process/faulter/case_test.go
+++ b/internal/process/faulter/case_test.go
@@ -136,19 +136,57 @@
 			h = o
 		}
 	}
-	ups := f.in(h.place.Region)
-	change := func(ups []*upstream, set func(w *worker.Faults)) func() {
+	if end := f.injectUpstreams(fault, f.in(h.place.Region)); end != nil {
+		return end
+	}
+	return f.injectPlaces(fault, h)
+}
+
+// change sets faults of upstreams and returns the function that waits and takes
+// them back.
+func change(ups []*upstream, set func(w *worker.Faults)) func() {
+	for _, u := range ups {
+		u.ChangeFaults(set)
+	}
+	return func() {
+		time.Sleep(length)
 		for _, u := range ups {
-			u.ChangeFaults(set)
+			draining := u.Faults().Draining
+			u.SetFaults(worker.Faults{Draining: draining})
 		}
-		return func() {
-			time.Sleep(length)
-			for _, u := range ups {
-				draining := u.Faults().Draining
-				u.SetFaults(worker.Faults{Draining: draining})
-			}
+	}
+}
+
+// injectUpstreams is inject for faults of the upstreams of a region, and returns
+// nil for others.
+func (f *fleet) injectUpstreams(fault Fault, ups []*upstream) func() {
+	switch fault {
+	case MeasurementsLag:
+		return change(f.ups, func(w *worker.Faults) { w.Lag = noter.Duration(length) })
+	case MeasurementsMislead:
+		return change(f.ups, func(w *worker.Faults) { w.Mislead = true })
+	case UpstreamSheds:
+		return change(ups, func(w *worker.Faults) { w.Shed = true })
+	case UpstreamDrains:
+		return f.drain(ups[1])
+	case UpstreamCold:
+		for _, u := range f.ups {
+			u.Restart()
 		}
+		return func() { time.Sleep(length) }
+	case AnswerLate:
+		return change(ups, func(w *worker.Faults) { w.Late = noter.Duration(3 * time.Second) })
+	case AnswerCrossed:
+		return change(ups, func(w *worker.Faults) { w.Crossed = true })
+	case AnswerShort:
+		return change(ups, func(w *worker.Faults) { w.Short = 1000 })
+	default:
+		return nil
 	}
+}
+
+// injectPlaces is inject for faults of hosts, places and the platform.
+func (f *fleet) injectPlaces(fault Fault, h *host) func() {
 	switch fault {
 	case MeasurementsStop:
 		f.setStall(true)
@@ -156,10 +194,6 @@
 			time.Sleep(length)
 			f.setStall(false)
 		}
-	case MeasurementsLag:
-		return change(f.ups, func(w *worker.Faults) { w.Lag = noter.Duration(length) })
-	case MeasurementsMislead:
-		return change(f.ups, func(w *worker.Faults) { w.Mislead = true })
 	case ProcessDies:
 		return h.die()
 	case ProcessPauses:
@@ -182,7 +216,7 @@
 		return f.store(func(p *platformer.Platformer) { p.SetFaults(platformer.Faults{Lag: noter.Duration(time.Minute)}) })
 	case TwoOperators:
 		return f.publishTwice()
-	case ConnectionsSilent:
+	default: // ConnectionsSilent
 		f.tell(func(now time.Time) { f.severed = now })
 		for i, a := range regions {
 			for _, b := range regions[i:] {
@@ -190,21 +224,6 @@
 			}
 		}
 		return func() { time.Sleep(length) }
-	case UpstreamSheds:
-		return change(ups, func(w *worker.Faults) { w.Shed = true })
-	case UpstreamDrains:
-		return f.drain(ups[1])
-	case UpstreamCold:
-		for _, u := range f.ups {
-			u.Restart()
-		}
-		return func() { time.Sleep(length) }
-	case AnswerLate:
-		return change(ups, func(w *worker.Faults) { w.Late = noter.Duration(3 * time.Second) })
-	case AnswerCrossed:
-		return change(ups, func(w *worker.Faults) { w.Crossed = true })
-	default: // AnswerShort
-		return change(ups, func(w *worker.Faults) { w.Short = 1000 })
 	}
 }
 
@@ -285,27 +304,25 @@
 			}
 		}
 	}
-	apart := func(h *host) bool {
-		return region == "" && h.index > 0 || region == h.place.Region || region == regions[0]
-	}
 	f.tell(func(now time.Time) { f.severed = now })
 	for _, p := range pairs {
 		f.net.delayer.Cut(p[0], p[1])
 	}
-	for _, h := range f.hosts {
-		if apart(h) {
-			f.unreachable(h.name, true)
-		}
-	}
+	f.setApart(region, true)
 	return func() {
 		time.Sleep(length)
 		for _, p := range pairs {
 			f.net.delayer.Heal(p[0], p[1])
 		}
-		for _, h := range f.hosts {
-			if apart(h) {
-				f.unreachable(h.name, false)
-			}
+		f.setApart(region, false)
+	}
+}
+
+// setApart tells the checker which hosts a cut of the region keeps from others.
+func (f *fleet) setApart(region string, apart bool) {
+	for _, h := range f.hosts {
+		if region == "" && h.index > 0 || region == h.place.Region || region == regions[0] {
+			f.unreachable(h.name, apart)
 		}
 	}
 }
--- a/internal/process/faulter/fleet_test.go
+++ b/internal/process/faulter/fleet_test.go
@@ -629,15 +629,7 @@
 			f.wg.Go(func() { f.send(c, http.MethodGet, fmt.Sprintf("/price/%d", n%7), "") })
 		}
 		if n%5 == 0 {
-			key := ""
-			if n%10 == 0 {
-				key = fmt.Sprintf("k%d-%d", i, n)
-			}
-			f.wg.Go(func() { f.send(c, http.MethodPost, "/order", key) })
-			if n%20 == 0 {
-				// The application repeats the order while the first is under way.
-				f.wg.Go(func() { f.send(c, http.MethodPost, "/order", key) })
-			}
+			f.order(c, i, n)
 		}
 		if n%30 == 7 {
 			f.wg.Go(func() { f.send(c, http.MethodGet, fmt.Sprintf("/file/%d?size=200000&rate=40000", n), "") })
@@ -651,6 +643,19 @@
 	}
 }
 
+// order sends the n-th order of caller i: every second one with a key, and every
+// fourth twice, as an application that repeats it while the first is under way.
+func (f *fleet) order(c *caller.Caller, i, n int) {
+	key := ""
+	if n%10 == 0 {
+		key = fmt.Sprintf("k%d-%d", i, n)
+	}
+	f.wg.Go(func() { f.send(c, http.MethodPost, "/order", key) })
+	if n%20 == 0 {
+		f.wg.Go(func() { f.send(c, http.MethodPost, "/order", key) })
+	}
+}
+
 func (f *fleet) send(c *caller.Caller, method, path, key string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
