--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -103,7 +103,8 @@
 type Detector struct {
 	self    *framer.Member
 	members map[string]*member
-	order   []string // live members but self, by address
+	order   []string // live members but self, by address; see live
+	stale   bool     // order has to be built anew
 	next    int      // index of the next neighbour to probe
 	doubt   int
 	probe   probe
@@ -180,18 +181,24 @@
 // order of addresses.
 func (d *Detector) Neighbours() []*framer.Member {
 	var out []*framer.Member
-	n := len(d.order)
-	at, _ := slices.BinarySearchFunc(d.order, d.self.Address, func(name, address string) int {
+	order := d.live()
+	n := len(order)
+	at, _ := slices.BinarySearchFunc(order, d.self.Address, func(name, address string) int {
 		return strings.Compare(d.members[name].Address, address)
 	})
 	for step := 1; step <= n; step *= 2 {
-		out = append(out, d.members[d.order[(at+step-1)%n]].Member)
+		out = append(out, d.members[order[(at+step-1)%n]].Member)
 	}
 	return out
 }
 
-// reorder rebuilds the list of live members after one came or went.
-func (d *Detector) reorder() {
+// live returns the names of the live members by address. The list is built when
+// it is needed, because a full exchange changes thousands of members at once.
+func (d *Detector) live() []string {
+	if !d.stale {
+		return d.order
+	}
+	d.stale = false
 	d.order = d.order[:0]
 	for name, m := range d.members {
 		if m.state() <= Suspect {
@@ -201,6 +208,7 @@
 	slices.SortFunc(d.order, func(a, b string) int {
 		return strings.Compare(d.members[a].Address, d.members[b].Address)
 	})
+	return d.order
 }
 
 // Step advances to now and returns the probes to send.
@@ -277,8 +285,9 @@
 	}
 	p.indirect = true
 	var out []Probe
-	for i := range d.order {
-		name := d.order[(i+d.next*helpers)%len(d.order)]
+	order := d.live()
+	for i := range order {
+		name := order[(i+d.next*helpers)%len(order)]
 		if name != p.target && d.members[name].state() == Alive && len(out) < helpers {
 			out = append(out, Probe{target: p.target, address: m.Address, via: d.members[name].Address})
 		}
@@ -318,7 +327,7 @@
 	default:
 		delete(d.timed, m.Name)
 	}
-	d.reorder()
+	d.stale = true
 }
 
 func (d *Detector) expire(now time.Time) {
