Let experiments pace answers, so that a drain has work to wait for

In the drain experiments the upstream had no work at the sign, because a download of 256 KiB lasts some milliseconds there, and no drain time was measured. Downloads of 2 MiB at 512 KiB/s last 4 s.

--- a/internal/process/measurer/experiment.go
+++ b/internal/process/measurer/experiment.go
@@ -50,6 +50,9 @@
 	Rate float64 `json:"rate"`
 	// Size is the size of an answer in bytes; zero means the upstream's own.
 	Size int64 `json:"size,omitempty"`
+	// Speed is the bytes per second at which each answer is sent; zero means the
+	// upstream's own.
+	Speed int64 `json:"speed,omitempty"`
 	// Keyed gives every request an Idempotency-Key. It needs the class once.
 	Keyed bool `json:"keyed,omitempty"`
 }
@@ -155,8 +158,8 @@
 			if s == nil {
 				return invalid("load: service %q is not in deployment %q: use one of its services", l.Service, e.Deployment)
 			}
-			if l.Rate <= 0 || l.Size < 0 {
-				return invalid("load of %q: rate is %v and size %d: use a positive rate and a size from 0", l.Service, l.Rate, l.Size)
+			if l.Rate <= 0 || min(l.Size, l.Speed) < 0 {
+				return invalid("load of %q: rate is %v, size %d, speed %d: use a positive rate, and size and speed from 0", l.Service, l.Rate, l.Size, l.Speed)
 			}
 			if l.Keyed && s.Class() != planner.Once {
 				return invalid("load of %q: field \"keyed\" needs a service of class once: remove it", l.Service)
--- a/internal/process/measurer/measurer.go
+++ b/internal/process/measurer/measurer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -170,9 +171,14 @@
 	ctx, cancel := context.WithTimeout(ctx, wait(s.Timeout()))
 	defer cancel()
 	q := deployer.Request{Method: http.MethodGet, Service: s.Name(), Path: "/item/" + strconv.Itoa(a.number)}
+	values := make(url.Values)
 	if a.load.Size > 0 {
-		q.Path += "?size=" + strconv.FormatInt(a.load.Size, 10)
+		values.Set("size", strconv.FormatInt(a.load.Size, 10))
 	}
+	if a.load.Speed > 0 {
+		values.Set("rate", strconv.FormatInt(a.load.Speed, 10))
+	}
+	q.Path += "?" + values.Encode()
 	if s.Class() == planner.Once {
 		q.Method, q.Body = http.MethodPost, []byte(`{"amount":100}`)
 	}
--- a/internal/process/measurer/measurer_test.go
+++ b/internal/process/measurer/measurer_test.go
@@ -28,6 +28,7 @@
 		"overflowing times":  {`"phases":[`, `"phases":[{"for":"2562047h","loads":[]},`, `"for"`},
 		"too many requests":  {`"rate":50`, `"rate":7000`, "requests"},
 		"no rate":            {`"rate":50`, `"rate":0`, "rate"},
+		"negative speed":     {`"rate":50`, `"rate":50,"speed":-1`, "speed"},
 		"unknown service":    {"listings-web", "catalog", "service"},
 		"key on a lookup":    {`"rate":50`, `"rate":50,"keyed":true`, "keyed"},
 		"late fault":         {`"1s"`, `"11s"`, `"at"`},
