--- a/internal/process/claimer/claimer.go
+++ b/internal/process/claimer/claimer.go
@@ -47,6 +47,9 @@
 	// storePatience is how long a request waits for a store that fails. Most
 	// outages are longer, and the caller learns early that nothing ran.
 	storePatience = time.Second
+	// budgetWait bounds the wait for this host's share of the store's writes.
+	budgetWait = time.Second
+	budgetPoll = 20 * time.Millisecond
 )
 
 // Store is what a Claimer needs of the platform.
@@ -135,7 +138,7 @@
 	if key.Key == "" || len(key.Key) > maxKey {
 		return nil, nil, classifier.BadRequest.New("Idempotency-Key has %d bytes: use 1 to %d", len(key.Key), maxKey)
 	}
-	if c.budget != nil && !c.budget.Allow(time.Now(), writesPerClaim) {
+	if !c.afford(ctx) {
 		return nil, nil, classifier.Overloaded.New("this host's share of the store's writes is used up")
 	}
 	claim := &Claim{key: key, id: uuid.NewString(), print: fingerprint}
@@ -153,6 +156,25 @@
 	return claim, nil, nil
 }
 
+// afford takes the writes of one claim from the budget. Requests that come
+// together wait for it a little, because a host's part is a few tens of writes a
+// second and refills all the time.
+func (c *Claimer) afford(ctx context.Context) bool {
+	if c.budget == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, budgetWait)
+	defer cancel()
+	for !c.budget.Allow(time.Now(), writesPerClaim) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(budgetPoll):
+		}
+	}
+	return true
+}
+
 // attempt is the state of one Begin.
 type attempt struct {
 	claimer      *Claimer
--- a/internal/process/faulter/cells.go
+++ b/internal/process/faulter/cells.go
@@ -145,8 +145,8 @@
 of testing/synctest, six upstreams, the platform and three callers, in which the
 fault begins when the step is reached; the checker judges all eight promises.
 
-CI does not run the fleet yet: with the race detector it took longer than 130 s.
-MATRIX=some runs 15 cells and 10 pairs of faults, drawn by a fixed seed.
+CI runs the fleet without the race detector, with which it takes too long: 15
+cells and 10 pairs of faults, drawn by a fixed seed, and the mechanisms off.
 MATRIX=all go test -run TestEveryFault ./internal/process/faulter runs all of
 them, one fault after the other; it takes minutes.
 
--- a/internal/process/faulter/fleet_test.go
+++ b/internal/process/faulter/fleet_test.go
@@ -707,6 +707,10 @@
 		return true
 	case f.off == offLedger && strings.HasPrefix(r.URL.Path, "/table/ledger/"):
 		r.URL.Path += "@" + peerOf(r).name
+	case f.off == offLedger && r.URL.Path == "/hosts":
+		// With the list each host would still take no more than its part.
+		_, _ = io.WriteString(w, "[]")
+		return true
 	}
 	return false
 }
