Drop the platform's idle connections after a timeout

Change: a timeout closes the idle connections, so that the next operation opens a new one; the adapter has tests of its protocol against the stand-in.

--- a/internal/process/adapter/adapter.go
+++ b/internal/process/adapter/adapter.go
@@ -76,6 +76,11 @@
 	}
 	resp, err := a.client.Do(req)
 	if err != nil {
+		if ctx.Err() == context.DeadlineExceeded {
+			// The other idle connections may have gone silent together with
+			// this one, and each would cost a timeout of its own.
+			a.client.CloseIdleConnections()
+		}
 		return nil, nil, classifier.StoreDown.Wrap(err, "platform")
 	}
 	defer resp.Body.Close()
--- /dev/null
+++ b/internal/process/adapter/adapter_test.go
@@ -0,0 +1,68 @@
+package adapter_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
+	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// Guards against an adapter and a stand-in that differ on the protocol: a write
+// on a changed revision must not take effect, and what is absent must be told
+// apart from an outage.
+func TestConditionalWrites(t *testing.T) {
+	p := new(platformer.Platformer)
+	server := httptest.NewServer(p)
+	defer server.Close()
+	a := adapter.New(server.URL, server.URL, server.URL, time.Minute, nil)
+	ctx := t.Context()
+	_, err := a.Get(ctx, "config/head")
+	assert.Equal(t, classifier.Of(err), classifier.Unknown)
+	first, err := a.Put(ctx, "config/head", "", []byte("1"))
+	assert.NilError(t, err)
+	_, err = a.Put(ctx, "config/head", "", []byte("2"))
+	assert.Equal(t, classifier.Of(err), classifier.Conflict)
+	_, err = a.Put(ctx, "config/head", first, []byte("3"))
+	assert.NilError(t, err)
+	assert.Equal(t, classifier.Of(a.Delete(ctx, "config/head", first)), classifier.Conflict)
+	rows, err := a.List(ctx, "config/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, string(rows[0].Value), "3")
+	p.SetDown(true)
+	_, err = a.Get(ctx, "config/head")
+	assert.Equal(t, classifier.Of(err), classifier.StoreDown)
+}
+
+// silent never answers and counts how often its idle connections are closed.
+type silent struct{ closed int }
+
+func (s *silent) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+func (s *silent) CloseIdleConnections() { s.closed++ }
+
+// Guards against a store that works again on new connections while each pooled
+// one that went silent costs a timeout, and against connections that are dropped
+// because a caller left.
+func TestSilentConnections(t *testing.T) {
+	s := new(silent)
+	a := adapter.New("http://x", "http://x", "http://x", time.Millisecond, s)
+	_, err := a.Get(t.Context(), "k")
+	assert.Equal(t, classifier.Of(err), classifier.StoreDown)
+	assert.Equal(t, s.closed, 1)
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = a.Get(gone, "k")
+	assert.Equal(t, classifier.Of(err), classifier.StoreDown)
+	assert.Equal(t, s.closed, 1)
+}
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -264,10 +264,13 @@
 
 // storeCounter counts the operations of the platform's store.
 type storeCounter struct {
-	http.RoundTripper
-	meter *meter.Meter
+	transport *http.Transport
+	meter     *meter.Meter
 }
 
+// CloseIdleConnections is called by http.Client.
+func (c storeCounter) CloseIdleConnections() { c.transport.CloseIdleConnections() }
+
 // RoundTrip implements http.RoundTripper.
 func (c storeCounter) RoundTrip(req *http.Request) (*http.Response, error) {
 	operation := meter.StoreReads
@@ -275,7 +278,7 @@
 		operation = meter.StoreWrites
 	}
 	c.meter.Add(operation, 1)
-	resp, err := c.RoundTripper.RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil || resp.StatusCode >= http.StatusInternalServerError {
 		c.meter.Add(meter.StoreErrors, 1)
 	}
