Keep the unit of a silent attempt until its deadline

Change: the unit is given back at the request's deadline in that case. Measured: TestSilentOrSlow counts the unit after the answer and an hour later. Conclusion: a silent download holds its slot for up to its timeout, which is what happens at the upstream.

--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -266,10 +266,11 @@
 func TestSilentOrSlow(t *testing.T) {
 	for name, c := range map[string]struct {
 		method, want string
-		open         int // connections: that of the probe, and the one that answered if it is not under suspicion
+		open         int   // connections: that of the probe, and the one that answered if it is not under suspicion
+		taken        int64 // units that the upstream may still use after the answer
 	}{
-		"look-up moves": {http.MethodGet, "second", 2},
-		"order waits":   {http.MethodPost, "first", 1},
+		"look-up moves": {http.MethodGet, "second", 2, 1},
+		"order waits":   {http.MethodPost, "first", 1, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -286,6 +287,10 @@
 				assert.Equal(t, body, c.want)
 				<-g.traces
 				assert.Equal(t, g.pool.Counts().Open, c.open)
+				time.Sleep(2 * cancelTime)
+				assert.Equal(t, g.taken.Load(), c.taken, "the upstream does not hear of the end on a silent connection")
+				time.Sleep(time.Hour)
+				assert.Equal(t, g.taken.Load(), int64(0))
 			})
 		})
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -252,13 +252,23 @@
 		a.unreserve()
 	}
 	if a.mayRun(err) {
-		time.AfterFunc(cancelTime, func() { a.ticket.Release(time.Now()) })
+		time.AfterFunc(a.lingers(now), func() { a.ticket.Release(time.Now()) })
 	} else {
 		a.ticket.Release(now)
 	}
 	a.observe(now, err)
 }
 
+// lingers returns how long the upstream may go on working on an attempt that was
+// given up. On a silent connection the close does not arrive, so that only the
+// deadline ends the work there.
+func (a *attempt) lingers(now time.Time) time.Duration {
+	if why := a.cause.Load(); why != nil && (*why == errSilent || *why == errStalled) {
+		return max(a.x.deadline.Sub(now), 0) + cancelTime
+	}
+	return cancelTime
+}
+
 // mayRun reports whether the upstream may still work on an attempt that was
 // given up. It learns of that only when the close of the connection arrives, so
 // the unit stays taken until then. Otherwise a request on another connection
