--- a/internal/process/claimer/claimer.go
+++ b/internal/process/claimer/claimer.go
@@ -44,9 +44,9 @@
 	// recordWait bounds how long an answer waits for its outcome to be stored.
 	// After that the caller gets the answer and the store is tried again later.
 	recordWait = time.Second
-	// storePatience is how long a request waits for a store that fails. Most
+	// storeFailureLimit is how long a request waits for a store that fails. Most
 	// outages are longer, and the caller learns early that nothing ran.
-	storePatience = time.Second
+	storeFailureLimit = time.Second
 	// budgetWait bounds the wait for this host's share of the store's writes.
 	budgetWait = time.Second
 	budgetPoll = 20 * time.Millisecond
@@ -138,7 +138,7 @@
 	if key.Key == "" || len(key.Key) > maxKey {
 		return nil, nil, classifier.BadRequest.New("Idempotency-Key has %d bytes: use 1 to %d", len(key.Key), maxKey)
 	}
-	if !c.afford(ctx) {
+	if !c.takeBudget(ctx) {
 		return nil, nil, classifier.Overloaded.New("this host's share of the store's writes is used up")
 	}
 	claim := &Claim{key: key, id: uuid.NewString(), print: fingerprint}
@@ -156,10 +156,10 @@
 	return claim, nil, nil
 }
 
-// afford takes the writes of one claim from the budget. Requests that come
+// takeBudget takes the writes of one claim from the budget. Requests that come
 // together wait for it a little, because a host's part is a few tens of writes a
 // second and refills all the time.
-func (c *Claimer) afford(ctx context.Context) bool {
+func (c *Claimer) takeBudget(ctx context.Context) bool {
 	if c.budget == nil {
 		return true
 	}
@@ -192,15 +192,15 @@
 		if done || err != nil {
 			return answer, err
 		}
-		if a.hopeless(time.Now()) || !a.sleep(ctx) {
+		if a.storeFailed(time.Now()) || !a.sleep(ctx) {
 			return nil, a.last
 		}
 	}
 }
 
-// hopeless reports whether the store has failed for so long that the request is
+// storeFailed reports whether the store has failed for so long that the request is
 // better refused.
-func (a *attempt) hopeless(now time.Time) bool {
+func (a *attempt) storeFailed(now time.Time) bool {
 	if classifier.Of(a.last) != classifier.StoreDown {
 		a.failing = time.Time{}
 		return false
@@ -208,7 +208,7 @@
 	if a.failing.IsZero() {
 		a.failing = now
 	}
-	return now.Sub(a.failing) >= storePatience
+	return now.Sub(a.failing) >= storeFailureLimit
 }
 
 // step reads the row and writes the claim if the key is free. It sets a.last
--- a/internal/process/controller/drain.go
+++ b/internal/process/controller/drain.go
@@ -57,7 +57,7 @@
 }
 
 // checkHost refuses to drain a host that no member has the name of, which is
-// most likely a slip of the pen. A host that is gone may be forgotten already.
+// most likely a typing error. A host that is gone may be forgotten already.
 func (c *Controller) checkHost(d noter.Drain, undo bool) error {
 	if d.Kind != planner.DrainHost || d.Gone || undo || d.Item == c.Settings.Name {
 		return nil
--- a/internal/process/granter/granter.go
+++ b/internal/process/granter/granter.go
@@ -207,7 +207,7 @@
 	g.leaving = true
 	for _, l := range g.ledgers {
 		l.allotter.Leave()
-		l.nudge()
+		l.wakeUp()
 	}
 	g.install(time.Now())
 	g.mu.Unlock()
--- a/internal/process/granter/ledger.go
+++ b/internal/process/granter/ledger.go
@@ -33,8 +33,8 @@
 
 func (l *ledger) key() string { return "ledger/" + l.name }
 
-// nudge makes the next read come at once.
-func (l *ledger) nudge() {
+// wakeUp makes the next read come at once.
+func (l *ledger) wakeUp() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -209,7 +209,7 @@
 		return answer
 	}
 	if ask.Address == "" {
-		l.nudge()
+		l.wakeUp()
 		return answer
 	}
 	raw, revision, age, ok := l.allotter.Offer(time.Now(), ask.Address)
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -215,7 +215,7 @@
 func (p *parts) installed(plan *planner.Plan) {
 	p.gossiper.SetVersion(plan.Version())
 	p.meter.Add(meter.Installs, 1)
-	p.touch()
+	p.scheduleRefresh()
 	p.log.Event(logger.VersionInstalled).Uint64("version", plan.Version()).Str("id", plan.ID()).Send()
 	p.dropUpstreams(plan)
 	select {
@@ -242,7 +242,7 @@
 func (p *parts) meet(c drainer.Condition) {
 	if p.drainer.Meet(c) {
 		p.gossiper.SetReady(true)
-		p.touch()
+		p.scheduleRefresh()
 		p.log.Event(logger.HostReady).Send()
 	}
 }
--- a/internal/process/runner/peers.go
+++ b/internal/process/runner/peers.go
@@ -22,8 +22,8 @@
 	listPeriod  = 10 * time.Second
 	listTimeout = 5 * time.Second
 	tellTimeout = time.Second
-	// listPatience is how long a start waits for the list of hosts.
-	listPatience = 2 * time.Second
+	// listWait is how long a start waits for the list of hosts.
+	listWait = 2 * time.Second
 	// startTime is how long hosts on the list may take to start.
 	startTime = 30 * time.Second
 	// meshSize is the largest fleet in which a host talks to all others.
@@ -114,7 +114,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	age := time.Since(p.began)
-	if !p.read && age < listPatience {
+	if !p.read && age < listWait {
 		return allotter.S
 	}
 	if age < startTime {
@@ -161,11 +161,11 @@
 	if detector.State(m.State) >= detector.Left {
 		p.shifter.Forget(m.Name)
 	}
-	p.touch()
+	p.scheduleRefresh()
 }
 
-// touch makes refreshHosts run soon. It can be called with locks held.
-func (p *parts) touch() {
+// scheduleRefresh makes refreshHosts run soon. It can be called with locks held.
+func (p *parts) scheduleRefresh() {
 	select {
 	case p.dirty <- struct{}{}:
 	default:
@@ -247,5 +247,5 @@
 			p.leaving(e.Name, gauger.ListSign)
 		}
 	}
-	p.touch()
+	p.scheduleRefresh()
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -252,17 +252,17 @@
 		a.unreserve()
 	}
 	if a.mayRun(err) {
-		time.AfterFunc(a.lingers(now), func() { a.ticket.Release(time.Now()) })
+		time.AfterFunc(a.releaseDelay(now), func() { a.ticket.Release(time.Now()) })
 	} else {
 		a.ticket.Release(now)
 	}
 	a.observe(now, err)
 }
 
-// lingers returns how long the upstream may go on working on an attempt that was
+// releaseDelay returns how long the upstream may go on working on an attempt that was
 // given up. On a silent connection the close does not arrive, so that only the
 // deadline ends the work there.
-func (a *attempt) lingers(now time.Time) time.Duration {
+func (a *attempt) releaseDelay(now time.Time) time.Duration {
 	if why := a.cause.Load(); why != nil && (*why == errSilent || *why == errStalled) {
 		return max(a.x.deadline.Sub(now), 0) + cancelTime
 	}
