Stop the spreader from running without a pause

Cause: a host that still waits for its neighbours and has heard of a newer version was due for a pull that it may not make; its next time lay in the past, so the driver took a whole core. Found by the row 'region fails' of the fault matrix, which did not end; a stack dump showed the driver's loop. Change: no pull is due while the host collects. Measured: TestNextIsInTheFuture fails without the change and passes with it.

--- a/internal/process/spreader/spreader.go
+++ b/internal/process/spreader/spreader.go
@@ -129,7 +129,9 @@
 // Next returns when Tick is due again.
 func (s *Spreader) Next() time.Time {
 	next := s.nextDigest
-	if !s.pulling && !s.nextPull.IsZero() && s.nextPull.Before(next) {
+	// A host that still collects does not pull; a time in the past would make the
+	// driver run without a pause.
+	if !s.pulling && !s.collecting && !s.nextPull.IsZero() && s.nextPull.Before(next) {
 		next = s.nextPull
 	}
 	if !s.polling && s.nextPoll.Before(next) {
--- a/internal/process/spreader/spreader_test.go
+++ b/internal/process/spreader/spreader_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
 	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
@@ -226,3 +228,23 @@
 	w.run(5 * time.Second)
 	assert.Equal(t, x.h.Plan().Version(), uint64(1))
 }
+
+// Guards against a driver that runs without a pause: a host that waits for its
+// neighbours has heard of a version that it may not pull yet.
+func TestNextIsInTheFuture(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(new(holder.Holder), rand.New(rand.NewPCG(1, 1)), now)
+	s.SetPeers([]string{"a", "b"}, 3)
+	for range 50 {
+		e := &framer.Envelope{Address: "a", Body: &framer.Envelope_Digest{Digest: &framer.Digest{Version: 5, Chain: make([]byte, 32)}}}
+		_, err := s.Handle(now, e)
+		assert.NilError(t, err)
+		for _, a := range s.Tick(now) {
+			if !a.Poll {
+				s.Answered(now, a, nil, classifier.TimedOut.New("silent"))
+			}
+		}
+		assert.Assert(t, s.Next().After(now), "%v at %v", s.Next(), now)
+		now = s.Next()
+	}
+}
