Don't believe a ready reading that contradicts an answer

Change: after an answer with Draining, ready readings don't count for 5 min unless a reading agrees or a connection is refused; Connection: close alone stays a sign that three ready readings end. The test of the warm ramp now uses a peer's sign, since the ramp and not the sign is what it checks.

--- a/internal/process/gauger/gauger.go
+++ b/internal/process/gauger/gauger.go
@@ -42,6 +42,10 @@
 
 const (
 	// equalReadings and settle are the hysteresis of a change of state.
+	// toldWait is how long ready readings don't count after an answer has said
+	// that the upstream drains: the health endpoint then lags or misleads. A
+	// reading that agrees, or a refused connection, ends the wait.
+	toldWait      = 5 * time.Minute
 	equalReadings = 3
 	settle        = 2 * time.Second
 
@@ -107,6 +111,7 @@
 	since   int64
 	refused bool
 	drained atomic.Bool // by an operator
+	told    bool        // an answer said that the upstream drains, and its health has not agreed since
 
 	state   atomic.Uint32
 	health  atomic.Int64 // time of the last health reading
@@ -214,6 +219,12 @@
 		// sign.
 		return
 	}
+	if s != Ready {
+		e.told = false
+	}
+	if e.told && g.at(at)-e.leaving.Load() < int64(toldWait) {
+		return
+	}
 	if s != e.next {
 		e.next, e.same, e.since = s, 0, g.at(at)
 	}
@@ -232,7 +243,7 @@
 	if before != Unknown || e.refused || e.leaving.Load() != 0 {
 		e.warm.Store(g.at(now))
 	}
-	e.refused = false
+	e.refused, e.told = false, false
 	e.leaving.Store(0)
 }
 
@@ -277,7 +288,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state.Store(uint32(Failed))
-	e.refused = true
+	e.refused, e.told = true, false
 	e.next, e.same, e.since = Failed, 1, g.at(now)
 	e.health.Store(max(e.health.Load(), g.at(now)))
 }
@@ -304,6 +315,7 @@
 	defer e.mu.Unlock()
 	// Ready readings have to start again after every sign.
 	e.next, e.same = Unknown, 0
+	e.told = e.told || s == RefusalSign
 	if e.leaving.Load() != 0 {
 		return false
 	}
--- a/internal/process/gauger/gauger_test.go
+++ b/internal/process/gauger/gauger_test.go
@@ -73,13 +73,38 @@
 	}
 }
 
+// Guards against a draining upstream that returns every 3 s because its health
+// endpoint misleads or lags, and against one that never returns.
+func TestHealthThatContradictsAnAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		agree func(g *Gauger, u *planner.Upstream)
+		until float64
+		want  State
+	}{
+		"health misleads":    {func(*Gauger, *planner.Upstream) {}, 200, Draining},
+		"health agrees":      {func(g *Gauger, _ *planner.Upstream) { g.OnHealth("u0", Draining, after(2), after(2)) }, 10, Ready},
+		"process is gone":    {func(g *Gauger, u *planner.Upstream) { g.OnRefused(u, after(2)) }, 10, Ready},
+		"ready for 5 min":    {func(*Gauger, *planner.Upstream) {}, 305, Ready},
+		"another answer too": {func(g *Gauger, _ *planner.Upstream) { g.OnLeaving("u0", RefusalSign, after(2)) }, 200, Draining},
+	} {
+		g, p := installed(t, 1)
+		g.OnLeaving("u0", RefusalSign, after(1))
+		c.agree(g, p.Upstreams()[0])
+		for at := 3.0; at <= c.until; at++ {
+			g.OnHealth("u0", Ready, after(at), after(at))
+		}
+		got := g.Read(p.Upstreams()[0], after(c.until)).State()
+		assert.Check(t, got == c.want, "%s: %v", name, got)
+	}
+}
+
 // Guards against a returning or added upstream that gets its full share at
 // once, and against a host start that makes every upstream cold.
 func TestWarmRamp(t *testing.T) {
 	g, p := installed(t, 1)
 	u := p.Upstreams()[0]
 	assert.Equal(t, g.Read(u, start).Warm(), 1.0)
-	g.OnLeaving("u0", RefusalSign, after(1))
+	g.OnLeaving("u0", PeerSign, after(1))
 	for _, at := range []float64{2, 3, 4} {
 		g.OnHealth("u0", Ready, after(at), after(at))
 	}
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -187,6 +187,8 @@
 		g.OnShed(u, now.Add(shedPause))
 	case forwarder.Leaving:
 		b.p.leaving(u.Name(), gauger.RefusalSign)
+	case forwarder.Closing:
+		b.p.leaving(u.Name(), gauger.CloseSign)
 	}
 }
 
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -122,7 +122,7 @@
 	})
 	p.claimer = claimer.New(store, writes{p.pacer}, s.Name)
 	p.weigher = weigher.New(p.shifter, p.gauger, store, p.gossiper, p.peers)
-	p.prober = prober.New(transport(), p.gauger, p.tellLeaving)
+	p.prober = prober.New(transport(), p.gauger, func(upstream string) { p.tellLeaving(upstream, gauger.HealthSign) })
 	for class := range p.routers {
 		units := capacity{p.admitter, planner.Class(class)}
 		p.routers[class] = router.New(units, weights{p.shifter}, p.gauger, router.Place{Region: s.Region, Zone: s.Zone})
--- a/internal/process/runner/peers.go
+++ b/internal/process/runner/peers.go
@@ -53,8 +53,12 @@
 	case *framer.Envelope_Shifts:
 		return p.weigher.Handle(e, time.Now())
 	case *framer.Envelope_Leaving:
+		sign := gauger.PeerSign
+		if b.Leaving.Reason == gauger.RefusalSign.String() {
+			sign = gauger.RefusalSign
+		}
 		for _, name := range b.Leaving.Upstreams {
-			p.leaving(name, gauger.PeerSign)
+			p.leaving(name, sign)
 		}
 		return &framer.Envelope{Body: &framer.Envelope_Ack{Ack: new(framer.Ack)}}, nil
 	default:
@@ -67,18 +71,18 @@
 func (p *parts) leaving(upstream string, sign gauger.Sign) {
 	if p.gauger.OnLeaving(upstream, sign, time.Now()) {
 		p.log.Event(logger.UpstreamLeaving).Str("upstream", upstream).Stringer("sign", sign).Send()
-		p.tellLeaving(upstream)
+		p.tellLeaving(upstream, sign)
 	}
 }
 
 // tellLeaving tells the peers at once. Each of them passes the first sign on,
 // so that it reaches a fleet of any size in a few hops.
-func (p *parts) tellLeaving(upstream string) {
+func (p *parts) tellLeaving(upstream string, sign gauger.Sign) {
 	for _, address := range p.peers() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 			defer cancel()
-			e := &framer.Envelope{Body: &framer.Envelope_Leaving{Leaving: &framer.Leaving{Upstreams: []string{upstream}}}}
+			e := &framer.Envelope{Body: &framer.Envelope_Leaving{Leaving: &framer.Leaving{Upstreams: []string{upstream}, Reason: sign.String()}}}
 			// A peer that misses the message sees the health endpoint itself.
 			_, _ = p.gossiper.Call(ctx, address, e)
 		}()
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -318,8 +318,12 @@
 		}
 	}
 	o := x.f.options.Observer
-	if a.resp != nil && (a.resp.Close || a.resp.Header["Draining"] != nil) {
+	switch {
+	case a.resp == nil:
+	case a.resp.Header["Draining"] != nil:
 		o.Observe(now, a.up, Leaving, 0)
+	case a.resp.Close:
+		o.Observe(now, a.up, Closing, 0)
 	}
 	o.Observe(now, a.up, sight, now.Sub(a.start))
 }
--- a/internal/request/forwarder/interfaces.go
+++ b/internal/request/forwarder/interfaces.go
@@ -70,6 +70,7 @@
 	Refused                // no connection could be opened
 	Shedding               // the upstream refused before running
 	Leaving                // the upstream says that it is about to stop
+	Closing                // the upstream closes the connection after its answer
 	Misplaced              // the answer belonged to another request
 )
 
