Reach listeners with TLS from the command line

Cause: listeners take a certificate in the settings, but the commands spoke plain HTTP only, so a host with TLS could not be operated.

--- a/cmd/dandeliontrack/commands.go
+++ b/cmd/dandeliontrack/commands.go
@@ -75,16 +75,17 @@
 type lookupCommand struct {
 	To     string `long:"to" required:"true" description:"caller address of a host" value-name:"ADDR"`
 	Client string `long:"client" description:"IP address of the client" value-name:"IP"`
-	Args   struct {
+	security
+	Args struct {
 		Service string `positional-arg-name:"SERVICE" required:"1"`
 	} `positional-args:"yes"`
 }
 
 // Execute prints the hosts in order.
 func (c *lookupCommand) Execute([]string) error {
-	client, err := api.NewClient("http://" + c.To)
+	client, err := c.connect(c.To)
 	if err != nil {
-		return classifier.BadRequest.Wrap(err, c.To)
+		return err
 	}
 	params := api.LookupParams{Service: c.Args.Service}
 	if c.Client != "" {
--- a/cmd/dandeliontrack/operate.go
+++ b/cmd/dandeliontrack/operate.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	stderrors "errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -32,11 +35,33 @@
 type target struct {
 	To   string `long:"to" required:"true" description:"operator address of any host, as IP:PORT" value-name:"ADDR"`
 	JSON bool   `long:"json" description:"print the answer as JSON"`
+	security
 }
 
-func (t target) client() (*api.Client, error) {
-	client, err := api.NewClient("http://" + t.To)
-	return client, classifier.BadRequest.Wrap(err, t.To)
+func (t target) client() (*api.Client, error) { return t.connect(t.To) }
+
+// security says whether a listener is reached by TLS.
+type security struct {
+	Authority string `long:"authority" description:"PEM file with the authorities of the listener's certificate; turns on TLS" value-name:"FILE"`
+}
+
+// connect returns a client of the host at the address.
+func (s security) connect(address string) (*api.Client, error) {
+	if s.Authority == "" {
+		client, err := api.NewClient("http://" + address)
+		return client, classifier.BadRequest.Wrap(err, address)
+	}
+	raw, err := os.ReadFile(s.Authority)
+	if err != nil {
+		return nil, classifier.Invalid.Wrap(err, "authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, classifier.Invalid.New("%s: no certificate in PEM form: name the file of the authority that signed the listener's certificate", s.Authority)
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	client, err := api.NewClient("https://"+address, api.WithClient(&http.Client{Transport: transport}))
+	return client, classifier.BadRequest.Wrap(err, address)
 }
 
 // remote gives an error that a host answered with the kind that it names.
--- /dev/null
+++ b/cmd/dandeliontrack/operate_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"encoding/pem"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// Guards against commands that can't reach a listener with TLS, that believe a
+// certificate of another authority, or that take a wrong file.
+func TestCommandsUseTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"service":"s","lifetime":1,"version":1,"hosts":[]}`)
+	}))
+	defer server.Close()
+	write := func(name string, content []byte) string {
+		path := filepath.Join(t.TempDir(), name)
+		assert.NilError(t, os.WriteFile(path, content, 0o600))
+		return path
+	}
+	good := write("good.pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}))
+	for name, test := range map[string]struct {
+		authority string
+		want      int
+	}{
+		"right authority":  {good, 0},
+		"no certificate":   {write("bad.pem", []byte("nothing")), classifier.Invalid.Exit()},
+		"no such file":     {good + ".gone", classifier.Invalid.Exit()},
+		"without TLS":      {"", classifier.Unreachable.Exit()},
+		"untrusted server": {write("other.pem", []byte(otherAuthority)), classifier.Unreachable.Exit()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &lookupCommand{To: server.Listener.Addr().String(), security: security{Authority: test.authority}}
+			c.Args.Service = "s"
+			err := c.Execute(nil)
+			if test.want == 0 {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Equal(t, classifier.Of(err).Exit(), test.want, "%v", err)
+		})
+	}
+}
+
+// otherAuthority is a certificate that nothing is signed with.
+const otherAuthority = `-----BEGIN CERTIFICATE-----
+MIIBeDCCAR2gAwIBAgIUTGGma8EbZVzejXhhoxJnbVivP1IwCgYIKoZIzj0EAwIw
+EDEOMAwGA1UEAwwFb3RoZXIwIBcNMjYxMjA0MDYzMDUwWhgPMjEyNjExMTAwNjMw
+NTBaMBAxDjAMBgNVBAMMBW90aGVyMFkwEwYHKoZIzj0CAQYIKoZIzj0DAQcDQgAE
+oH33EGHDFmFqp8zJlNWP6GRz/XD3KpyKV0VgfQf1JgOXWkwtXxw2QyKrmhUco6Ff
+5c2jZTWeYA9cQEJsvSOlwKNTMFEwHQYDVR0OBBYEFEm6b+u9wh1e3hPRFka0Es4Q
+sZLdMB8GA1UdIwQYMBaAFEm6b+u9wh1e3hPRFka0Es4QsZLdMA8GA1UdEwEB/wQF
+MAMBAf8wCgYIKoZIzj0EAwIDSQAwRgIhAPHNvm0XMoqUfA4EsKYg0ZwiC79xHGcU
+yvNUQUQ0D/CYAiEA/PgKg/TlYQHuvfB+t+sNWWGKdpQMAteHuwP3VF2QA+8=
+-----END CERTIFICATE-----
+`
