Count a hedge that may have run before saying not run

Cause: when the first attempt of a look-up found no connection before the deadline, the caller was told 'not run' (expired) although the hedge had been dispatched and had no answer (P4). Change: the hedge's error counts like that of any attempt that may have run. Measured: TestHedgeMayHaveRun says not-run without the change.

--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -328,6 +328,22 @@
 	}
 }
 
+// Guards against "not run" for a look-up whose first attempt found no connection
+// while its hedge ran and got no answer in time.
+func TestHedgeMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := bubble(t, echo(func(http.ResponseWriter, *http.Request) {}), echo(func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+		}))
+		g.at["192.0.2.12:80"] = make(chan net.Conn) // the first upstream accepts nothing
+		g.hedge = 50 * time.Millisecond
+		g.retries.Store(1)
+		resp, _, err := g.do(t, g.request(t, http.MethodGet, "/s/prices/x", "", "Request-Timeout", "1s"))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Header.Get("Outcome"), classifier.MayHaveRun.String())
+	})
+}
+
 // Guards against an upstream that answers after the deadline: the answer must
 // not reach the next request.
 func TestLateAnswer(t *testing.T) {
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -39,6 +39,10 @@
 	}
 	<-h.done
 	a.hedged = false
+	if h.err != nil && classifier.Of(h.err).Outcome() != classifier.NotRun {
+		// The second attempt may have run, whatever became of the first.
+		x.doubt = h.err
+	}
 	if h.second != nil && h.winner == h.second {
 		h.second.hedged = false
 		return h.second, nil
@@ -67,6 +71,7 @@
 	mu     sync.Mutex
 	winner *attempt
 	second *attempt
+	err    error // of the second attempt, read after done
 }
 
 // win makes a the answer of the request, unless there is one.
@@ -94,7 +99,7 @@
 	if b == nil {
 		return
 	}
-	if b.send() != nil {
+	if h.err = b.send(); h.err != nil {
 		return
 	}
 	if !h.win(b) {
