Compute an attempt's links once, and write the events of publications

Cause: the read-through found two functions that differed in the direction only and ran up to three times a request, an accessor that nothing called, and the catalogued events 201 and 203 that no code wrote. Change: an attempt holds both of its links; the accessor is gone; a publication logs 201 when it is accepted and 203 when its content is refused.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -16,6 +16,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
 	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
@@ -53,6 +54,7 @@
 	Flight func(*planner.Upstream) int
 	// Store describes whether the store answers.
 	Store func() string
+	Log   logger.Logger
 }
 
 // Controller implements api.Handler.
@@ -126,8 +128,14 @@
 	before := c.Holder.Plan().Version()
 	p, err := c.Publisher.Publish(ctx, n)
 	if err != nil {
+		if classifier.Of(err) == classifier.Invalid {
+			c.Log.Event(logger.VersionRefused).Str("id", n.ID).Err(err).Send()
+		}
 		return nil, err
 	}
+	if p.Version() > before {
+		c.Log.Event(logger.VersionAccepted).Uint64("version", p.Version()).Str("id", p.ID()).Send()
+	}
 	chain := p.Chain()
 	return &api.Publication{
 		ID: p.ID(), Version: int64(p.Version()), Chain: hex.EncodeToString(chain[:]),
--- a/internal/process/granter/granter.go
+++ b/internal/process/granter/granter.go
@@ -234,17 +234,6 @@
 	return true
 }
 
-// Shares returns how many shares the host holds in each ledger.
-func (g *Granter) Shares() map[string]int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := make(map[string]int, len(g.ledgers))
-	for name, l := range g.ledgers {
-		out[name] = l.shares.Len()
-	}
-	return out
-}
-
 func isLink(limit string) bool { return strings.HasPrefix(limit, allotter.LinkLimit("")) }
 
 func (g *Granter) gate(limit string) Gate {
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -141,7 +141,7 @@
 	server, err := api.NewServer(controller.New(controller.Parts{
 		Settings: p.settings, Holder: p.holder, Publisher: p.publisher, Members: p.gossiper, Finder: p.finder,
 		Drainer: p.drainer, Recorder: p.recorder, Limits: []controller.Limits{p.admitter, linkFigures{p}},
-		Shifter: p.shifter, Gauger: p.gauger, Flight: p.admitter.Flight, Store: p.storeState,
+		Shifter: p.shifter, Gauger: p.gauger, Flight: p.admitter.Flight, Store: p.storeState, Log: p.log,
 	}))
 	if err != nil {
 		return nil, nil, classifier.Internal.Wrap(err, "API server")
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -38,6 +38,7 @@
 type attempt struct {
 	x         *exchange
 	up        *planner.Upstream
+	there     *planner.Link // from the host's region to the upstream's, nil within one
 	path      *planner.Link // from the upstream's region to the host's, nil within one
 	ticket    Ticket
 	unreserve func()
@@ -190,13 +191,13 @@
 		delete(h, "Expect") // the body is here already
 		out.ContentLength = int64(len(x.whole))
 		if len(x.whole) > 0 {
-			out.Body = io.NopCloser(x.paced(ctx, a.up, bytes.NewReader(x.whole)))
+			out.Body = io.NopCloser(a.paced(ctx, bytes.NewReader(x.whole)))
 		}
 	case x.upload != nil:
 		x.upload.start(a.link)
 		out.Body = x.upload
-		if link := x.back(a.up); link != nil {
-			out.Body = pacedBody{x.paced(ctx, a.up, x.upload), x.upload}
+		if a.there != nil {
+			out.Body = pacedBody{a.paced(ctx, x.upload), x.upload}
 		}
 		out.Trailer = x.r.Trailer
 	}
@@ -211,8 +212,8 @@
 
 // paced returns a reader of the request's body at the rate of the link to the
 // upstream.
-func (x *exchange) paced(ctx context.Context, up *planner.Upstream, r io.Reader) io.Reader {
-	return x.f.options.Pacer.Reader(ctx, x.back(up), x.class, r)
+func (a *attempt) paced(ctx context.Context, r io.Reader) io.Reader {
+	return a.x.f.options.Pacer.Reader(ctx, a.there, a.x.class, r)
 }
 
 // inform passes an informational answer on. 100 is not passed: the server sends
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -202,7 +202,8 @@
 	if !ok {
 		return nil, nil
 	}
-	a := &attempt{x: x, up: up, ticket: ticket, start: now, path: x.route(up)}
+	there, back := x.links(up)
+	a := &attempt{x: x, up: up, ticket: ticket, start: now, there: there, path: back}
 	if rate := x.service.Minimum(); a.path != nil && x.class == planner.Download && rate > 0 {
 		if a.unreserve, ok = o.Pacer.Reserve(a.path, rate); !ok {
 			ticket.Release(now)
@@ -214,22 +215,15 @@
 	return a, nil
 }
 
-// route returns the link that the answer of an upstream uses, or nil.
-func (x *exchange) route(up *planner.Upstream) *planner.Link {
+// links returns the links that a request to the upstream and its answer use, or
+// nil within one region.
+func (x *exchange) links(up *planner.Upstream) (there, back *planner.Link) {
 	own := x.plan.Region(x.f.options.Region)
 	if own == nil {
-		return nil
-	}
-	return x.plan.Link(up.Region().Index(), own.Index())
-}
-
-// back returns the link that the request itself uses, or nil.
-func (x *exchange) back(up *planner.Upstream) *planner.Link {
-	own := x.plan.Region(x.f.options.Region)
-	if own == nil {
-		return nil
+		return nil, nil
 	}
-	return x.plan.Link(own.Index(), up.Region().Index())
+	at := up.Region().Index()
+	return x.plan.Link(own.Index(), at), x.plan.Link(at, own.Index())
 }
 
 // end answers an error, records the request, and breaks the caller's stream if
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -122,7 +122,8 @@
 		return nil
 	}
 	x.steps.Add(now, recorder.Admitted, up.Region(), up, "hedge")
-	b := &attempt{x: x, up: up, ticket: ticket, start: now, hedged: true, path: x.route(up)}
+	there, back := x.links(up)
+	b := &attempt{x: x, up: up, ticket: ticket, start: now, hedged: true, there: there, path: back}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.winner == nil {
