--- /dev/null
+++ b/internal/connection/acceptor/acceptor.go
@@ -0,0 +1,161 @@
+// Package acceptor serves HTTP/1.1 connections of callers.
+//
+// It differs from the server of net/http where the promises to callers need it.
+// Repeatable requests that a caller sends before the first one is answered run
+// at the same time, with answers in order. A caller that leaves is noticed also
+// while more of its requests wait to be read. Ambiguous framing is refused
+// before the library's parser resolves it. A stop closes no connection on which
+// a request was read and not answered.
+//
+//	a := acceptor.New(acceptor.Options{Handler: h})
+//	go a.Serve(listener)
+//	a.Stop() // answers from now on close their connection
+//	a.Wait(ctx)
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Limits bounds what a caller may send.
+type Limits struct {
+	Header       int           // bytes of a request's header
+	Body         int64         // bytes of a request's body
+	HeaderWithin time.Duration // from the first byte of a header to its last
+	Idle         time.Duration // between requests
+}
+
+// Defaults until an operator's limits are known.
+const (
+	defaultHeader = 16 << 10
+	defaultBody   = 64 << 20
+	defaultWithin = 5 * time.Second
+	defaultIdle   = 60 * time.Second
+	// maxHeader bounds the memory of a connection, whatever the operator says.
+	maxHeader = 1 << 20
+	// acceptPause is how long accepting rests when descriptors run out.
+	acceptPause = 20 * time.Millisecond
+)
+
+func (l Limits) filled() Limits {
+	if l.Header <= 0 {
+		l.Header = defaultHeader
+	}
+	l.Header = min(l.Header, maxHeader)
+	if l.Body <= 0 {
+		l.Body = defaultBody
+	}
+	if l.HeaderWithin <= 0 {
+		l.HeaderWithin = defaultWithin
+	}
+	if l.Idle <= 0 {
+		l.Idle = defaultIdle
+	}
+	return l
+}
+
+// Call is one request of a caller.
+type Call struct {
+	Request *http.Request // its Body is nil if Body is whole
+	Body    []byte        // the whole body, unless Request.Body streams it
+	Arrived time.Time     // of the first byte
+}
+
+// Handler answers calls. Serve must answer before it returns; ctx ends when the
+// caller leaves.
+type Handler interface {
+	Serve(ctx context.Context, c *Call, a *Answer)
+}
+
+// Options configure an Acceptor.
+type Options struct {
+	Handler Handler
+	// Limits returns the bounds in force; nil means the defaults.
+	Limits func() Limits
+	// Repeatable reports whether a request may run while earlier ones of its
+	// connection are under way. Nil means that none may.
+	Repeatable func(r *http.Request) bool
+}
+
+// Acceptor serves the connections of callers. It is safe for concurrent use.
+type Acceptor struct {
+	options  Options
+	stopping atomic.Bool
+	active   atomic.Int64 // requests that were read and not answered
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// New returns an Acceptor.
+func New(o Options) *Acceptor {
+	if o.Limits == nil {
+		o.Limits = func() Limits { return Limits{} }
+	}
+	if o.Repeatable == nil {
+		o.Repeatable = func(*http.Request) bool { return false }
+	}
+	return &Acceptor{options: o, conns: make(map[*conn]struct{})}
+}
+
+// Serve accepts connections until the listener is closed, which is not an error.
+func (a *Acceptor) Serve(l net.Listener) error {
+	for {
+		raw, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newConn(a, raw)
+		a.mu.Lock()
+		a.conns[c] = struct{}{}
+		a.mu.Unlock()
+		a.wg.Go(c.serve)
+	}
+}
+
+func (a *Acceptor) remove(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.conns, c)
+}
+
+// Active returns how many requests were read and not answered yet.
+func (a *Acceptor) Active() int { return int(a.active.Load()) }
+
+// Stop makes every connection close after the answer to the last request read
+// on it. Connections without a request stay open for CloseIdle.
+func (a *Acceptor) Stop() { a.stopping.Store(true) }
+
+// CloseIdle closes the connections on which no request is under way. Requests
+// that cross this close were not read.
+func (a *Acceptor) CloseIdle() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.closeIdle()
+	}
+}
+
+// Wait waits until all connections have ended, or ctx ends.
+func (a *Acceptor) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		a.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/connection/acceptor/head.go
@@ -0,0 +1,90 @@
+package acceptor
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strings"
+)
+
+// readHead returns the header of the next request without taking it from the
+// reader. A nil header without a status means that the caller left.
+func readHead(br *bufio.Reader, most int) ([]byte, int) {
+	need, seen := 1, 0
+	for {
+		if need > most {
+			return nil, http.StatusRequestHeaderFieldsTooLarge
+		}
+		if _, err := br.Peek(need); err != nil {
+			return nil, 0
+		}
+		buf, _ := br.Peek(min(br.Buffered(), most))
+		if seen == 0 {
+			// Empty lines before a request are allowed (RFC 9112, section 2.2).
+			for bytes.HasPrefix(buf, []byte("\r\n")) {
+				_, _ = br.Discard(2)
+				buf = buf[2:]
+			}
+			if len(buf) == 0 {
+				need = 1
+				continue
+			}
+		}
+		if i := bytes.Index(buf[max(0, seen-3):], []byte("\r\n\r\n")); i >= 0 {
+			return buf[:max(0, seen-3)+i+4], 0
+		}
+		seen = len(buf)
+		need = seen + 1
+	}
+}
+
+// checkHead refuses what two parsers could read in different ways: bare line
+// feeds and carriage returns, folded lines, and a length that is not unique
+// (RFC 9112, sections 2.2, 5.2 and 6.3).
+func checkHead(head []byte) int {
+	length, encoding := 0, 0
+	lines := strings.Split(string(head[:len(head)-4]), "\r\n")
+	for i, line := range lines {
+		if strings.ContainsAny(line, "\r\n\x00") {
+			return http.StatusBadRequest
+		}
+		if i == 0 {
+			continue
+		}
+		if line == "" || line[0] == ' ' || line[0] == '\t' {
+			return http.StatusBadRequest
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+			return http.StatusBadRequest
+		}
+		switch {
+		case strings.EqualFold(name, "Content-Length"):
+			length++
+			if !digits(strings.Trim(value, " \t")) {
+				return http.StatusBadRequest
+			}
+		case strings.EqualFold(name, "Transfer-Encoding"):
+			encoding++
+			if !strings.EqualFold(strings.Trim(value, " \t"), "chunked") {
+				return http.StatusNotImplemented
+			}
+		}
+	}
+	if length+encoding > 1 {
+		return http.StatusBadRequest
+	}
+	return 0
+}
+
+func digits(s string) bool {
+	if s == "" {
+		return false
+	}
+	for _, b := range []byte(s) {
+		if b < '0' || b > '9' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/connection/sender/sender.go
@@ -0,0 +1,245 @@
+// Package sender sends single HTTP/1.1 requests to upstreams over kept
+// connections. A request is written at most once; nothing in this package sends
+// it again.
+//
+//	conn, err := s.Get(ctx, address, reuse)
+//	answer, err := conn.Do(ctx, request, deadline)
+//	... read answer.Body to its end ...
+//	conn.Done()
+//
+// An answer with another request's ID is skipped, because an upstream may send
+// an answer twice and late.
+package sender
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+const (
+	defaultDial   = time.Second
+	defaultIdle   = 5 * time.Second
+	defaultHeader = 64 << 10
+	// idleMost bounds the idle connections to one upstream.
+	idleMost = 32
+	// sweepPeriod is how often long idle connections are closed.
+	sweepPeriod = time.Second
+)
+
+// Options configure a Sender. All fields may be left zero.
+type Options struct {
+	// Dial opens a connection; the default is a net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Open bounds the time for a connection to be opened.
+	Open time.Duration
+	// Idle is how long a connection may be idle, unless the upstream's
+	// Keep-Alive header names a shorter time.
+	Idle time.Duration
+	// Header bounds the header of an answer in bytes.
+	Header int
+	// Own returns whether the ID of an answer is the one of its request. The
+	// default accepts all.
+	Own func(request, answer Header) bool
+	// Lost is told about idle connections that the upstream closed early.
+	Lost func(address string)
+}
+
+// Header gives the values of a message's header.
+type Header interface{ Get(name string) string }
+
+// Sender keeps the connections of a host to its upstreams. It is safe for
+// concurrent use.
+type Sender struct {
+	options Options
+	groups  sync.Map // address to *group
+	opened  atomic.Int64
+	stop    chan struct{}
+	once    sync.Once
+}
+
+type group struct {
+	mu   sync.Mutex
+	idle []*Conn // the last one was used last
+	gone bool
+}
+
+// New returns a Sender. Close ends its goroutine.
+func New(o Options) *Sender {
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
+	if o.Own == nil {
+		o.Own = func(Header, Header) bool { return true }
+	}
+	if o.Lost == nil {
+		o.Lost = func(string) {}
+	}
+	o.Open = cmp.Or(o.Open, defaultDial)
+	o.Idle = cmp.Or(o.Idle, defaultIdle)
+	o.Header = cmp.Or(o.Header, defaultHeader)
+	s := &Sender{options: o, stop: make(chan struct{})}
+	go s.sweep()
+	return s
+}
+
+// Opened returns how many connections were opened or tried so far.
+func (s *Sender) Opened() int64 { return s.opened.Load() }
+
+func (s *Sender) group(address string) *group {
+	if g, ok := s.groups.Load(address); ok {
+		return g.(*group)
+	}
+	g, _ := s.groups.LoadOrStore(address, new(group))
+	return g.(*group)
+}
+
+// Get returns a kept connection, if young is zero or one was used within that
+// time, and a new one otherwise. An error is of kind Unreachable or Expired, and
+// nothing was sent.
+func (s *Sender) Get(ctx context.Context, address string, young time.Duration) (*Conn, error) {
+	g := s.group(address)
+	for {
+		c := g.take(young)
+		if c == nil {
+			break
+		}
+		if c.usable() {
+			return c, nil
+		}
+		_ = c.conn.Close()
+		if !c.expected {
+			s.options.Lost(address)
+		}
+	}
+	opened, cancel := context.WithTimeout(ctx, s.options.Open)
+	defer cancel()
+	s.opened.Add(1)
+	raw, err := s.options.Dial(opened, "tcp", address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, classifier.Expired.Wrap(context.Cause(ctx), "no connection to upstream "+address)
+		}
+		return nil, classifier.Unreachable.Wrap(err, "upstream "+address)
+	}
+	return newConn(s, g, raw), nil
+}
+
+func (g *group) take(young time.Duration) *Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := len(g.idle)
+	if n == 0 {
+		return nil
+	}
+	c := g.idle[n-1]
+	if young > 0 && time.Since(c.since) > young {
+		return nil
+	}
+	g.idle[n-1] = nil
+	g.idle = g.idle[:n-1]
+	return c
+}
+
+// put keeps a connection and returns whether it may be kept.
+func (g *group) put(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.gone || len(g.idle) >= idleMost {
+		return false
+	}
+	c.since = time.Now()
+	g.idle = append(g.idle, c)
+	return true
+}
+
+// Remove closes the idle connections to an address that has no upstream any
+// more. Connections in use are closed after their answer.
+func (s *Sender) Remove(address string) {
+	g, ok := s.groups.LoadAndDelete(address)
+	if !ok {
+		return
+	}
+	g.(*group).close()
+}
+
+func (g *group) close() {
+	g.mu.Lock()
+	idle := g.idle
+	g.idle, g.gone = nil, true
+	g.mu.Unlock()
+	for _, c := range idle {
+		_ = c.conn.Close()
+	}
+}
+
+// Close closes the idle connections. Those in use are closed after their answer.
+func (s *Sender) Close() {
+	s.once.Do(func() { close(s.stop) })
+	s.groups.Range(func(_, g any) bool {
+		g.(*group).close()
+		return true
+	})
+}
+
+func (s *Sender) sweep() {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+		}
+		s.groups.Range(func(_, g any) bool {
+			g.(*group).expire()
+			return true
+		})
+	}
+}
+
+// expire closes the connections that are idle for too long.
+func (g *group) expire() {
+	g.mu.Lock()
+	var old []*Conn
+	kept := g.idle[:0]
+	for _, c := range g.idle {
+		if time.Since(c.since) >= c.idle {
+			old = append(old, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	clear(g.idle[len(kept):])
+	g.idle = kept
+	g.mu.Unlock()
+	for _, c := range old {
+		_ = c.conn.Close()
+	}
+}
+
+// peek reports whether the connection is open and has nothing to read.
+func peek(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, failure := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = failure == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/process/conductor/conductor.go
@@ -0,0 +1,306 @@
+// Package conductor runs one entry host on a platform that keeps routes and
+// upstreams in its store: it builds the parts, joins them, opens the listeners
+// and ends everything in order.
+package conductor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
+	"dandeliontrack.example/dandeliontrack/internal/connection/linker"
+	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
+	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
+	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
+	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
+	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
+	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
+	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
+)
+
+// Settings describe one host and the bounds that its operator set.
+type Settings struct {
+	Name   string
+	Zone   string
+	Region string
+	Zones  map[string]string // zone to region
+
+	Front     string // address for callers
+	Ready     string // address of the readiness check
+	Directory string // address for look-ups of hosts
+	Control   string // address of the metrics, "" for none
+	Peer      string // address for other hosts
+	Seeds     []string
+
+	Lifetime  time.Duration // of a look-up's answer
+	Grace     time.Duration // from the signal to stop until the process is killed
+	Budget    budgeter.Limit
+	Shift     float64 // largest part of the requests that changes region within ShiftSpan
+	ShiftSpan time.Duration
+	Cold      ColdLimit
+	Share     float64 // of a processor
+}
+
+// ColdLimit bounds the requests per second that all hosts together send to a
+// cold upstream: Factor times what it bears, plus Slack.
+type ColdLimit struct {
+	Factor, Slack float64
+}
+
+// Host is what a host says of itself in the store.
+type Host struct {
+	Name string
+	Peer string // address for other hosts
+}
+
+// Platform is the users' platform.
+type Platform interface {
+	follower.Source
+	steerer.Dialect
+	// Upstreams and Operator name the tables with registrations and with what
+	// the operator wrote.
+	Upstreams() string
+	Operator() string
+	// Registration reads a row of the table of upstreams.
+	Registration(row follower.Row) (registrar.Registration, error)
+	// Configuration reads a row of the operator's table; without an error, ok
+	// says whether the row holds a configuration.
+	Configuration(row follower.Row) (t *matcher.Table, ok bool, err error)
+	// Evacuation returns the zone that a row of the operator's table evacuates.
+	Evacuation(key string) (zone string, ok bool)
+	// Announce records the host in the store, Hosts returns those recorded.
+	Announce(ctx context.Context, h Host) error
+	Hosts(ctx context.Context) ([]Host, error)
+	// Lookups returns the handler of look-ups, Readiness of readiness checks.
+	Lookups(find func(zone, region string) []string, lifetime func() time.Duration) http.Handler
+	Readiness(ready func() bool) http.Handler
+}
+
+// Conductor is one host.
+type Conductor struct {
+	settings Settings
+	platform Platform
+	log      logger.Logger
+	regions  []string
+
+	meter     *meter.Meter
+	linker    *linker.Linker
+	gossiper  *gossiper.Gossiper
+	registrar *registrar.Registrar
+	surveyor  *surveyor.Surveyor
+	plan      *apportioner.Apportioner
+	ranker    *ranker.Ranker
+	sender    *sender.Sender
+	acceptor  *acceptor.Acceptor
+	followers map[string]*follower.Follower
+
+	table   atomic.Pointer[matcher.Table]
+	stopped atomic.Bool
+	told    atomic.Bool // readiness was logged
+	names   atomic.Pointer[[]string]
+
+	lifetime atomic.Int64 // of a look-up's answer, in nanoseconds
+	grace    atomic.Int64 // in nanoseconds
+
+	mu    sync.Mutex
+	seeds []string
+}
+
+// New builds a host without opening a socket.
+func New(s Settings, p Platform, log logger.Logger) (*Conductor, error) {
+	c := &Conductor{settings: s, platform: p, log: log, meter: meter.New(), seeds: s.Seeds}
+	for _, region := range s.Zones {
+		if !slices.Contains(c.regions, region) {
+			c.regions = append(c.regions, region)
+		}
+	}
+	slices.Sort(c.regions)
+	c.lifetime.Store(int64(s.Lifetime))
+	c.grace.Store(int64(s.Grace))
+	now := time.Now()
+	var err error
+	if c.linker, err = linker.New(settler.Peer{Listen: s.Peer, Plain: true}, c.handle); err != nil {
+		return nil, err
+	}
+	c.linker.UseDial(dialer(peerSilence).DialContext)
+	c.gossiper = gossiper.New(c.self(now), c.linker, c.seedAddresses)
+	c.gossiper.OnChange(c.changed)
+	c.registrar = registrar.New(s.Zones)
+	c.registrar.OnLeave(c.leaves)
+	c.surveyor = surveyor.New(s.Name, s.Region, now)
+	c.plan = apportioner.New(slices.Index(c.regions, s.Region), shiftPart*s.Shift/s.ShiftSpan.Seconds())
+	c.ranker = ranker.New(c.distance)
+	c.sender = sender.New(sender.Options{
+		Dial: dialer(upstreamSilence).DialContext, Open: openWithin, Idle: idleWithin, Own: c.own,
+	})
+	st := steerer.New(steerer.Options{
+		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate,
+		Upstreams: c.registrar, Ranker: c.ranker, Budget: budgeter.New(s.Budget, c.fleet), Sender: c.sender,
+		Log: log, Meter: c.meter,
+	})
+	c.acceptor = acceptor.New(acceptor.Options{Handler: st, Limits: c.limits, Repeatable: st.Repeatable})
+	c.followers = map[string]*follower.Follower{
+		p.Upstreams(): follower.New(p.Upstreams(), p, upstreamPeriod, c),
+		p.Operator():  follower.New(p.Operator(), p, 0, c),
+	}
+	return c, nil
+}
+
+// own reports whether an answer belongs to a request. An answer without an ID
+// says nothing.
+func (c *Conductor) own(request, answer sender.Header) bool {
+	id := c.platform.Identity(answer.(http.Header))
+	return id == "" || id == c.platform.Identity(request.(http.Header))
+}
+
+func (c *Conductor) limits() acceptor.Limits {
+	t := c.table.Load()
+	if t == nil {
+		return acceptor.Limits{}
+	}
+	l := t.Limits()
+	return acceptor.Limits{Header: l.Header, Body: l.Body, HeaderWithin: l.HeaderWithin, Idle: l.Idle}
+}
+
+// Run serves until ctx ends, and then stops gracefully: the host leaves the
+// look-ups, serves callers with a cached look-up for a while, and lets every
+// request in flight finish.
+func (c *Conductor) Run(ctx context.Context) error {
+	front, err := net.Listen("tcp", c.settings.Front)
+	if err != nil {
+		c.log.Event(logger.ListenFailed).Err(err).Send()
+		return err
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, life := errgroup.WithContext(life)
+	g.Go(func() error { return c.acceptor.Serve(front) })
+	if err := c.listen(life, g); err != nil {
+		c.log.Event(logger.ListenFailed).Err(err).Send()
+		return err
+	}
+	c.log.Event(logger.HostStarted).Str("caller", c.settings.Front).Str("zone", c.settings.Zone).Send()
+	c.start(life, g)
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			c.stop(life, front)
+		case <-life.Done():
+		}
+		end()
+		_ = front.Close()
+		return c.linker.Close()
+	})
+	err = g.Wait()
+	c.sender.Close()
+	c.log.Event(logger.HostStopped).Send()
+	return err
+}
+
+// listen opens the listeners other than the one for callers.
+func (c *Conductor) listen(ctx context.Context, g *errgroup.Group) error {
+	peers, err := net.Listen("tcp", c.settings.Peer)
+	if err != nil {
+		return err
+	}
+	g.Go(func() error { return c.linker.Serve(peers) })
+	lookups := c.platform.Lookups(c.find, func() time.Duration { return time.Duration(c.lifetime.Load()) })
+	for address, h := range map[string]http.Handler{
+		c.settings.Ready: c.platform.Readiness(c.ready), c.settings.Directory: lookups, c.settings.Control: c.meter,
+	} {
+		if address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: h, ReadHeaderTimeout: headerWithin, IdleTimeout: sideIdle}
+		g.Go(func() error {
+			if err := server.Serve(l); err != http.ErrServerClosed {
+				return err
+			}
+			return nil
+		})
+		g.Go(func() error {
+			<-ctx.Done()
+			return server.Close()
+		})
+	}
+	return nil
+}
+
+// start begins the work that goes on beside requests.
+func (c *Conductor) start(ctx context.Context, g *errgroup.Group) {
+	for _, f := range c.followers {
+		g.Go(func() error {
+			f.Run(ctx)
+			return nil
+		})
+	}
+	for _, run := range []func(context.Context){c.gossiper.Run, c.exchange, c.tick, c.announce} {
+		g.Go(func() error {
+			run(ctx)
+			return nil
+		})
+	}
+}
+
+// ready reports whether the host takes new work.
+func (c *Conductor) ready() bool {
+	ready := !c.stopped.Load() && c.table.Load() != nil && len(c.registrar.Services()) > 0
+	if ready && !c.told.Swap(true) {
+		c.gossiper.SetReady(true)
+		c.log.Event(logger.HostReady).Uint64("version", c.table.Load().Version()).Send()
+	}
+	return ready
+}
+
+// Reload puts changed settings in force: the lifetime of look-ups and the time
+// for a stop. The other fields need a new process. With an error, the settings
+// in force stay.
+func (c *Conductor) Reload(s Settings, err error) {
+	if err != nil {
+		c.log.Event(logger.SettingsRefused).Err(err).Send()
+		return
+	}
+	c.lifetime.Store(int64(s.Lifetime))
+	c.grace.Store(int64(s.Grace))
+	c.log.Event(logger.SettingsRead).Dur("lifetime", s.Lifetime).Dur("grace", s.Grace).Send()
+}
+
+// stop ends the work of the host in order.
+func (c *Conductor) stop(ctx context.Context, front net.Listener) {
+	begun, grace := time.Now(), time.Duration(c.grace.Load())
+	c.log.Event(logger.HostLeaving).Int("flight", c.acceptor.Active()).Send()
+	c.stopped.Store(true)
+	c.gossiper.SetReady(false)
+	c.acceptor.Stop()
+	c.tellAll(ctx)
+	wait(ctx, time.Duration(stopLinger*float64(grace)))
+	_ = front.Close()
+	hard, cancel := context.WithDeadline(ctx, begun.Add(grace-stopMargin))
+	defer cancel()
+	c.acceptor.CloseIdle()
+	c.acceptor.Wait(hard)
+	if n := c.acceptor.Active(); n > 0 {
+		c.log.Event(logger.WorkCutOff).Int("count", n).Send()
+	}
+	c.meter.ObserveDrain(time.Since(begun))
+	leave, done := context.WithTimeout(ctx, leaveWithin)
+	defer done()
+	c.gossiper.Leave(leave)
+}
--- /dev/null
+++ b/internal/process/conductor/fleet.go
@@ -0,0 +1,287 @@
+package conductor
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/detector"
+	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// self describes the host to the others. A later start has a higher incarnation.
+func (c *Conductor) self(now time.Time) *framer.Member {
+	s := c.settings
+	return &framer.Member{
+		Name: s.Name, Address: s.Peer, Caller: s.Front, Region: s.Region, Zone: s.Zone,
+		Incarnation: uint64(now.UnixMilli()),
+	}
+}
+
+func (c *Conductor) seedAddresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.seeds)
+}
+
+// announce records the host in the store and learns of the others, in case that
+// none of the seeds answers.
+func (c *Conductor) announce(ctx context.Context) {
+	announced := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, announceWithin)
+		if !announced {
+			announced = c.platform.Announce(call, Host{Name: c.settings.Name, Peer: c.settings.Peer}) == nil
+		}
+		if hosts, err := c.platform.Hosts(call); err == nil {
+			c.addSeeds(hosts)
+		}
+		cancel()
+		wait(ctx, announcePeriod/2+rand.N(announcePeriod))
+	}
+}
+
+func (c *Conductor) addSeeds(hosts []Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = slices.Clone(c.settings.Seeds)
+	for _, h := range hosts {
+		if h.Peer != c.settings.Peer && !slices.Contains(c.seeds, h.Peer) {
+			c.seeds = append(c.seeds, h.Peer)
+		}
+	}
+}
+
+// changed follows the membership.
+func (c *Conductor) changed(m *framer.Member) {
+	c.log.Event(logger.MemberChanged).Str("member", m.Name).Stringer("state", detector.State(m.State)).
+		Bool("ready", m.Ready).Str("accuser", m.Accuser).Str("reason", m.Reason).Send()
+}
+
+// live returns the members that answer.
+func (c *Conductor) live() []*framer.Member {
+	return slices.DeleteFunc(c.gossiper.Members(), func(m *framer.Member) bool {
+		return detector.State(m.State) != detector.Alive
+	})
+}
+
+// fleet returns how many hosts share what is summed over all of them. Hosts that
+// do not answer count too, because they may still send.
+func (c *Conductor) fleet() int {
+	n := 1
+	for _, m := range c.gossiper.Members() {
+		if detector.State(m.State) != detector.Left {
+			n++
+		}
+	}
+	return n
+}
+
+// find returns the addresses that a caller may use: the hosts of its zone and
+// region that take work, or all of them.
+func (c *Conductor) find(zone, region string) []string {
+	members := c.live()
+	if c.ready() {
+		members = append(members, c.gossiper.Self())
+	}
+	var near, all []string
+	for _, m := range members {
+		if !m.Ready && m.Name != c.settings.Name {
+			continue
+		}
+		all = append(all, m.Caller)
+		if m.Region == region || (region == "" && m.Zone == zone) {
+			near = append(near, m.Caller)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return near
+}
+
+// coldRate returns how many requests per second this host may send to a cold
+// upstream. Few hosts feed one, the same ones in every host's view. Two views
+// that share no host stay within the limit together.
+func (c *Conductor) coldRate(u *registrar.Upstream, perSecond float64) float64 {
+	most := perSecond*c.settings.Cold.Factor + c.settings.Cold.Slack
+	feeders := max(1, int(coldBurst*most))
+	rank := 0
+	own := feeds(c.settings.Name, u)
+	for _, name := range *c.hostNames() {
+		if feeds(name, u) > own {
+			rank++
+		}
+	}
+	if rank >= feeders {
+		return 0
+	}
+	return coldSteady * most / float64(feeders)
+}
+
+func feeds(host string, u *registrar.Upstream) uint64 {
+	return xxhash.Sum64String(host+"/"+u.ID()) ^ u.Hash()
+}
+
+// hostNames returns the names of the other live hosts, as of the last tick.
+func (c *Conductor) hostNames() *[]string {
+	if names := c.names.Load(); names != nil {
+		return names
+	}
+	return new([]string)
+}
+
+// tick brings the demand and the plans forward.
+func (c *Conductor) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		c.surveyor.Tick(now, func(service string) time.Duration {
+			_, warm := c.ranker.Works(service)
+			return warm
+		})
+		var names []string
+		for _, m := range c.live() {
+			names = append(names, m.Name)
+		}
+		c.names.Store(&names)
+		for _, service := range c.registrar.Services() {
+			c.replan(now, service)
+		}
+		c.ready()
+		wait(ctx, tickPeriod)
+	}
+}
+
+// replan moves the plan of a service towards the demand.
+func (c *Conductor) replan(now time.Time, service string) {
+	group := c.registrar.Group(service)
+	slots := make([]float64, len(c.regions))
+	for i, region := range c.regions {
+		slots[i] = float64(group.Slots(region))
+	}
+	c.plan.Weights(now, service, c.surveyor.Busy(service, c.regions), slots)
+}
+
+// Count implements steerer.Planner.
+func (c *Conductor) Count(service string) { c.surveyor.Count(service) }
+
+// Weights implements steerer.Planner.
+func (c *Conductor) Weights(service string) []float64 {
+	if w := c.plan.Current(service); w != nil {
+		return w
+	}
+	c.replan(time.Now(), service)
+	return c.plan.Current(service)
+}
+
+// exchange brings what the host knows together with another host's, one after
+// the other in random order.
+func (c *Conductor) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		if live := c.live(); len(live) > 0 {
+			c.sync(ctx, live[rand.IntN(len(live))].Address)
+		}
+		wait(ctx, exchangePeriod/2+rand.N(exchangePeriod))
+	}
+}
+
+func (c *Conductor) sync(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeWithin)
+	defer cancel()
+	offer := &framer.Sync{Demands: c.surveyor.Demands()}
+	for name, f := range c.followers {
+		offer.Tables = append(offer.Tables, &framer.TableVersion{Table: name, Version: f.Version()})
+	}
+	answer, err := c.gossiper.Call(ctx, address, &framer.Envelope{Body: &framer.Envelope_Sync{Sync: offer}})
+	if err != nil {
+		return // the membership finds out about hosts that do not answer
+	}
+	got := answer.GetSynced()
+	c.surveyor.Merge(got.GetDemands(), time.Now())
+	for _, t := range got.GetTables() {
+		f := c.followers[t.Table]
+		if f == nil {
+			continue
+		}
+		page := follower.Page{Version: t.Version}
+		for _, r := range t.Rows {
+			page.Rows = append(page.Rows, follower.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		}
+		f.Merge(page, t.Whole)
+	}
+}
+
+// handle answers an envelope of another host.
+func (c *Conductor) handle(ctx context.Context, e *framer.Envelope) (*framer.Envelope, error) {
+	c.gossiper.Accept(e)
+	switch b := e.Body.(type) {
+	case *framer.Envelope_Ping, *framer.Envelope_PingRequest:
+		answer, err := c.gossiper.Handle(ctx, e)
+		if err != nil {
+			return nil, err
+		}
+		return c.gossiper.Answer(e, answer), nil
+	case *framer.Envelope_Sync:
+		return c.gossiper.Answer(e, &framer.Envelope{Body: &framer.Envelope_Synced{Synced: c.synced(b.Sync)}}), nil
+	default:
+		return nil, classifier.BadRequest.New("message of an unknown kind")
+	}
+}
+
+func (c *Conductor) synced(offer *framer.Sync) *framer.Synced {
+	c.surveyor.Merge(offer.Demands, time.Now())
+	out := &framer.Synced{Demands: c.surveyor.Demands()}
+	for _, t := range offer.Tables {
+		f := c.followers[t.Table]
+		if f == nil {
+			continue
+		}
+		page, whole, ok := f.Since(t.Version)
+		if !ok {
+			continue
+		}
+		rows := &framer.TableRows{Table: t.Table, Version: page.Version, Whole: whole}
+		for _, r := range page.Rows {
+			rows.Rows = append(rows.Rows, &framer.TableRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		}
+		out.Tables = append(out.Tables, rows)
+	}
+	return out
+}
+
+// tellAll tells the other hosts at once that this one takes no new work.
+func (c *Conductor) tellAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveWithin)
+	defer cancel()
+	live := c.live()
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	var wg sync.WaitGroup
+	for _, m := range live[:min(len(live), tellMost)] {
+		wg.Go(func() { c.sync(ctx, m.Address) })
+	}
+	wg.Wait()
+}
+
+// leaves closes the idle connections of an upstream that gets no new work.
+func (c *Conductor) leaves(u *registrar.Upstream, sign string) {
+	c.log.Event(logger.UpstreamLeaving).Str("upstream", u.ID()).Str("service", u.Service()).Str("sign", sign).Send()
+	c.sender.Remove(u.Address())
+}
+
+// distance returns the time to a region and back, as far as it is known.
+func (c *Conductor) distance(region string) time.Duration {
+	if strings.EqualFold(region, c.settings.Region) {
+		return 0
+	}
+	return farDistance
+}
--- /dev/null
+++ b/internal/process/conductor/limits.go
@@ -0,0 +1,78 @@
+package conductor
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// upstreamPeriod is the least time between two reads of the registrations.
+	// Upstreams write about every 1.5 s, so a longer wait for changes would
+	// return at once.
+	upstreamPeriod = 700 * time.Millisecond
+	tickPeriod     = 250 * time.Millisecond
+	// exchangePeriod is the mean time between two exchanges with other hosts. In
+	// a fleet of n hosts news takes about log2(n) of them to reach all.
+	exchangePeriod = 400 * time.Millisecond
+	exchangeWithin = 600 * time.Millisecond
+	announcePeriod = 5 * time.Second
+	announceWithin = 3 * time.Second
+	leaveWithin    = 400 * time.Millisecond
+	// tellMost bounds the hosts that a leaving host tells itself; they pass it on.
+	tellMost = 16
+
+	// openWithin bounds the time for a connection to an upstream. It is several
+	// times the longest way there and back (110 ms).
+	openWithin = 450 * time.Millisecond
+	// idleWithin is how long a connection to an upstream is kept idle.
+	idleWithin = 8 * time.Second
+	// upstreamSilence is how long sent bytes may stay without acknowledgement
+	// before a connection to an upstream is given up.
+	upstreamSilence = 1500 * time.Millisecond
+	peerSilence     = 1500 * time.Millisecond
+	headerWithin    = 2 * time.Second
+	sideIdle        = 30 * time.Second
+
+	// shiftPart is the part of the allowed shift between regions that plans use.
+	// The rest is left to callers that move and to objects that differ in rate.
+	shiftPart = 0.5
+
+	// coldSteady and coldBurst are the parts of a cold upstream's limit that the
+	// steady rate and one request of each feeder take. Together they are half of
+	// it, so that two groups of hosts that don't see each other stay within it.
+	coldSteady = 0.34
+	coldBurst  = 0.15
+
+	// stopLinger is the part of the time until a process is killed in which it
+	// still serves callers with a cached look-up. The rest is for requests in
+	// flight.
+	stopLinger = 0.5
+	// stopMargin is the time that is left to end the process.
+	stopMargin = 300 * time.Millisecond
+
+	// farDistance is the assumed time to another region and back.
+	farDistance = 60 * time.Millisecond
+)
+
+// userTimeout is TCP_USER_TIMEOUT of Linux, which package syscall does not name.
+const userTimeout = 0x12
+
+// dialer returns a Dialer whose connections fail after sent bytes stay without
+// acknowledgement for the given time. A host behind a partition does not answer
+// otherwise, and neither does a connection whose path forgot it.
+func dialer(silence time.Duration) *net.Dialer {
+	return &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silence, Interval: silence, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			err := raw.Control(func(fd uintptr) {
+				failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, int(silence.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failure
+		},
+	}
+}
--- /dev/null
+++ b/internal/process/conductor/rows.go
@@ -0,0 +1,80 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+)
+
+// Rows implements follower.Watcher.
+func (c *Conductor) Rows(table string, rows []follower.Row, _, first bool) {
+	now := time.Now()
+	for _, r := range rows {
+		if table == c.platform.Upstreams() {
+			c.upstream(r, now, first)
+		} else {
+			c.operator(r, now)
+		}
+	}
+}
+
+// Store implements follower.Watcher.
+func (c *Conductor) Store(table string, err error) {
+	if err != nil {
+		c.log.Event(logger.StoreFailed).Str("table", table).Err(err).Send()
+		return
+	}
+	c.log.Event(logger.StoreRecovered).Str("table", table).Send()
+}
+
+// upstream takes over a registration. One that can't be read names no upstream.
+func (c *Conductor) upstream(r follower.Row, now time.Time, first bool) {
+	if r.Deleted {
+		c.registrar.Remove(r.Key, r.Version)
+		return
+	}
+	reg, err := c.platform.Registration(r)
+	if err != nil {
+		c.log.Event(logger.RowRefused).Str("key", r.Key).Uint64("row", r.Version).Err(err).Send()
+		return
+	}
+	c.registrar.Put(reg, now, first)
+}
+
+// operator takes over a row that the operator wrote. A configuration that can't
+// be read, or is older than the one in force, changes nothing.
+func (c *Conductor) operator(r follower.Row, now time.Time) {
+	if zone, ok := c.platform.Evacuation(r.Key); ok {
+		c.registrar.Evacuate(zone, !r.Deleted, now)
+		c.log.Event(logger.ZoneEvacuated).Str("zone", zone).Bool("evacuated", !r.Deleted).Uint64("row", r.Version).Send()
+		return
+	}
+	if r.Deleted {
+		return
+	}
+	t, ok, err := c.platform.Configuration(r)
+	if err != nil {
+		c.log.Event(logger.VersionRefused).Uint64("row", r.Version).Err(err).Send()
+		return
+	}
+	if old := c.table.Load(); !ok || (old != nil && t.Version() <= old.Version()) {
+		return
+	}
+	c.table.Store(t)
+	c.gossiper.SetVersion(t.Version())
+	c.log.Event(logger.VersionInstalled).Uint64("version", t.Version()).Int("routes", t.Routes()).Uint64("row", r.Version).Send()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/process/follower/follower.go
@@ -0,0 +1,254 @@
+// Package follower keeps a copy of one table of the platform's store.
+//
+// The copy is brought forward by the store's feed, or by the copy of another
+// host while the store does not answer. The store numbers its transactions, so a
+// copy is described by one version, and what another host lacks is the rows with
+// a higher one.
+//
+//	f := follower.New("upstreams", source, period, onChange)
+//	go f.Run(ctx)
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+const (
+	// pauseFirst and pauseLast bound the time between two failed calls.
+	pauseFirst = 150 * time.Millisecond
+	pauseLast  = time.Second
+	// tombstones bounds the remembered deletions. A host that lacks older ones
+	// gets the whole table.
+	tombstones = 4096
+)
+
+// Row is one row of a table. A deleted row has no value.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version uint64
+	Deleted bool
+}
+
+// Page is a part of a table, or the whole, as of a version of the store.
+type Page struct {
+	Rows    []Row
+	Version uint64
+}
+
+// Source reads the store. Changes waits for the first change for a bounded time
+// and fails with kind Unknown if the store has dropped the history after the
+// version.
+type Source interface {
+	Read(ctx context.Context, table string) (Page, error)
+	Changes(ctx context.Context, table string, after uint64) (Page, error)
+}
+
+// Watcher is told what changed. The calls do not overlap.
+type Watcher interface {
+	// Rows brings changed rows. With whole, rows that are not among them do not
+	// exist; first marks the first read of the table.
+	Rows(table string, rows []Row, whole, first bool)
+	// Store reports that the store failed, or answers again if err is nil.
+	Store(table string, err error)
+}
+
+// Follower keeps the copy. It is safe for concurrent use.
+type Follower struct {
+	table   string
+	source  Source
+	period  time.Duration
+	watcher Watcher
+
+	mu      sync.Mutex
+	rows    map[string]Row
+	version uint64
+	floor   uint64 // all deletions after this version are among the rows
+	heard   time.Time
+	failing bool
+}
+
+// New returns an empty copy of a table. Period is the least time between two
+// calls to the store.
+func New(table string, s Source, period time.Duration, w Watcher) *Follower {
+	return &Follower{table: table, source: s, period: period, watcher: w, rows: make(map[string]Row)}
+}
+
+// Table returns the name of the table.
+func (f *Follower) Table() string { return f.table }
+
+// Version returns the version of the store up to which the copy is complete, 0
+// before the first read.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// Heard returns when the copy was last confirmed, by the store or another host.
+func (f *Follower) Heard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := pauseFirst
+	for ctx.Err() == nil {
+		begun := time.Now()
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.report(err)
+		rest := time.Until(begun.Add(f.period))
+		if err != nil {
+			// The jitter keeps hosts that failed together from coming back together.
+			rest = pause/2 + rand.N(pause)
+			pause = min(2*pause, pauseLast)
+		} else {
+			pause = pauseFirst
+		}
+		wait(ctx, rest)
+	}
+}
+
+func (f *Follower) report(err error) {
+	f.mu.Lock()
+	changed := (err != nil) != f.failing
+	f.failing = err != nil
+	f.mu.Unlock()
+	if changed {
+		f.watcher.Store(f.table, err)
+	}
+}
+
+// step brings the copy forward by one call to the store.
+func (f *Follower) step(ctx context.Context) error {
+	version := f.Version()
+	if version > 0 {
+		page, err := f.source.Changes(ctx, f.table, version)
+		if err == nil {
+			f.Merge(page, false)
+			return nil
+		}
+		if classifier.Of(err) != classifier.Unknown {
+			return err
+		}
+		// The history after the version is gone.
+	}
+	page, err := f.source.Read(ctx, f.table)
+	if err != nil {
+		return err
+	}
+	f.Merge(page, true)
+	return nil
+}
+
+// Merge brings the copy forward by a page of the store or of another host, and
+// tells the watcher.
+func (f *Follower) Merge(p Page, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.Version < f.version {
+		return // an answer that was overtaken
+	}
+	f.heard = time.Now()
+	first := f.version == 0
+	if first && !whole {
+		return
+	}
+	changed := f.apply(p, whole)
+	f.version = p.Version
+	if len(changed) > 0 || first {
+		f.watcher.Rows(f.table, changed, whole, first)
+	}
+}
+
+// apply changes the copy and returns the rows that are new. Called with mu held.
+func (f *Follower) apply(p Page, whole bool) (changed []Row) {
+	listed := make(map[string]bool, len(p.Rows))
+	for _, r := range p.Rows {
+		listed[r.Key] = true
+		old, ok := f.rows[r.Key]
+		if ok && old.Version >= r.Version {
+			continue
+		}
+		f.rows[r.Key] = r
+		changed = append(changed, r)
+	}
+	if whole {
+		changed = append(changed, f.drop(listed, p.Version)...)
+	}
+	f.forget(p.Version)
+	return changed
+}
+
+// drop removes the rows that a whole page does not list and returns them as
+// deleted. Called with mu held.
+func (f *Follower) drop(listed map[string]bool, version uint64) (gone []Row) {
+	for key, r := range f.rows {
+		if listed[key] || r.Version > version {
+			continue
+		}
+		if !r.Deleted {
+			gone = append(gone, Row{Key: key, Version: version, Deleted: true})
+		}
+		delete(f.rows, key)
+	}
+	f.floor = version
+	return gone
+}
+
+// forget drops the deletions once there are many. Called with mu held.
+func (f *Follower) forget(version uint64) {
+	var deleted []string
+	for key, r := range f.rows {
+		if r.Deleted {
+			deleted = append(deleted, key)
+		}
+	}
+	if len(deleted) <= tombstones {
+		return
+	}
+	for _, key := range deleted {
+		delete(f.rows, key)
+	}
+	f.floor = version
+}
+
+// Since returns what a copy of the version lacks, and whether the page is the
+// whole table. Without anything to tell, ok is false.
+func (f *Follower) Since(version uint64) (page Page, whole, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.version <= version {
+		return Page{}, false, false
+	}
+	whole = version < f.floor || version == 0
+	page.Version = f.version
+	for _, r := range f.rows {
+		if r.Version > version || (whole && !r.Deleted) {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	return page, whole, true
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -19,9 +19,13 @@
 	HostStopped      Event = 104
 	WorkCutOff       Event = 105
 	ListenFailed     Event = 106
+	SettingsRead     Event = 107
+	SettingsRefused  Event = 108
 	VersionAccepted  Event = 201
 	VersionInstalled Event = 202
 	VersionRefused   Event = 203
+	ZoneEvacuated    Event = 204
+	RowRefused       Event = 205
 	MemberChanged    Event = 301
 	SharesChanged    Event = 401
 	HolderGone       Event = 402
@@ -30,6 +34,8 @@
 	ConnectionSilent Event = 502
 	UpstreamDead     Event = 503
 	RequestFailed    Event = 601
+	RequestServed    Event = 602
+	RequestRefused   Event = 603
 	StoreFailed      Event = 701
 	StoreRecovered   Event = 702
 )
@@ -47,9 +53,13 @@
 	HostStopped:      {zerolog.InfoLevel, "host stopped", "Nothing is in flight; the process ends."},
 	WorkCutOff:       {zerolog.WarnLevel, "work cut off", "A second signal or the hard deadline ended the requests named in the field requests."},
 	ListenFailed:     {zerolog.ErrorLevel, "listen failed", "A listener could not be opened; the process ends."},
+	SettingsRead:     {zerolog.InfoLevel, "settings read", "Changed settings are in force, as far as they can change while the host runs."},
+	SettingsRefused:  {zerolog.WarnLevel, "settings refused", "The settings file can't be read or fails a check; the settings in force stay."},
 	VersionAccepted:  {zerolog.InfoLevel, "version accepted", "A publication through this host won its conditional write."},
 	VersionInstalled: {zerolog.InfoLevel, "version installed", "The version in the field version is in force on this host."},
 	VersionRefused:   {zerolog.WarnLevel, "version refused", "A release note or a copy of a version failed a check."},
+	ZoneEvacuated:    {zerolog.InfoLevel, "zone evacuated", "The operator evacuated the zone, or took it back if evacuated is false; its upstreams get no new work, or get some again as cold ones."},
+	RowRefused:       {zerolog.WarnLevel, "row refused", "A registration in the store can't be read; it names no upstream. The others hold."},
 	MemberChanged:    {zerolog.InfoLevel, "member changed", "The state or readiness of another host changed; state, accuser and reason say how and why."},
 	SharesChanged:    {zerolog.InfoLevel, "shares changed", "The host holds the number of shares in the field shares of the ledger's limits."},
 	HolderGone:       {zerolog.WarnLevel, "holder gone", "An operator stated that the holder's machine is gone; its shares become free after 33 s."},
@@ -57,7 +67,9 @@
 	UpstreamLeaving:  {zerolog.InfoLevel, "upstream leaving", "The upstream gets no new work; the field sign says why."},
 	ConnectionSilent: {zerolog.WarnLevel, "connection silent", "Connections to the address carried nothing while a new one works; they are closed."},
 	UpstreamDead:     {zerolog.WarnLevel, "upstream dead", "The address refused a connection or left a probe on a new one unanswered."},
-	RequestFailed:    {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run. Refusals are counted instead."},
+	RequestFailed:    {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run; attempts, where given, says what was tried."},
+	RequestServed:    {zerolog.InfoLevel, "request served", "A request got an upstream's answer; attempts says where it was sent, what was expected there, and what came of it."},
+	RequestRefused:   {zerolog.WarnLevel, "request refused", "A request was answered with an error kind that says it did not run; kind, room and attempts say why."},
 	StoreFailed:      {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again."},
 	StoreRecovered:   {zerolog.InfoLevel, "store recovered", "The store answers again after failures."},
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -14,6 +14,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
 	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
+	"dandeliontrack.example/dandeliontrack/internal/request/stripper"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -228,7 +229,7 @@
 		return nil
 	}
 	to := x.w.Header()
-	pass(to, http.Header(h), said)
+	stripper.Copy(to, http.Header(h), said)
 	x.w.WriteHeader(code)
 	clear(to)
 	return nil
--- a/internal/request/forwarder/headers.go
+++ b/internal/request/forwarder/headers.go
@@ -9,16 +9,10 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"dandeliontrack.example/dandeliontrack/internal/request/stripper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
-// hop are the headers that belong to one connection only.
-var hop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true,
-	"Upgrade": true, "Http2-Settings": true,
-}
-
 // ours are the request headers that are written anew for the upstream.
 var ours = map[string]bool{"Request-Id": true, "Request-Timeout": true, "Request-Deadline": true, "Forwarded": true, "Via": true}
 
@@ -26,24 +20,6 @@
 // there is not passed on.
 var said = map[string]bool{"Request-Id": true, "Outcome": true, "Config-Version": true, "Draining": true, "Via": true}
 
-// listed reports whether the Connection header names the header. Most requests
-// have no such header.
-func listed(connection []string, name string) bool {
-	return len(connection) > 0 && httpguts.HeaderValuesContainsToken(connection, name)
-}
-
-// pass copies all headers that may leave the connection, except those of skip.
-// The values are shared.
-func pass(to, from http.Header, skip map[string]bool) {
-	connection := from["Connection"]
-	for name, values := range from {
-		if hop[name] || skip[name] || listed(connection, name) {
-			continue
-		}
-		to[name] = values
-	}
-}
-
 // checkCaller refuses what a host does not forward.
 func (f *Forwarder) checkCaller(r *http.Request) error {
 	if r.Method == http.MethodConnect {
@@ -70,7 +46,7 @@
 func (x *exchange) outgoing() http.Header {
 	in := x.r.Header
 	h := make(http.Header, len(in)+6)
-	pass(h, in, ours)
+	stripper.Copy(h, in, ours)
 	if httpguts.HeaderValuesContainsToken(in["Te"], "trailers") {
 		h["Te"] = trailers
 	}
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/recorder"
+	"dandeliontrack.example/dandeliontrack/internal/request/stripper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -86,7 +87,7 @@
 	r := newReader(x, a)
 	defer func() { r.a.finish(err) }()
 	s := &Stored{Status: a.resp.StatusCode, Header: make(http.Header)}
-	pass(s.Header, a.resp.Header, said)
+	stripper.Copy(s.Header, a.resp.Header, said)
 	if x.hasBody(a.resp) {
 		if unending(a.resp) && a.resp.Header["Repr-Digest"] == nil {
 			return classifier.Truncated.New("the answer of upstream %s has no length, so its end cannot be checked", a.up.Name())
--- /dev/null
+++ b/internal/request/ranker/ranker.go
@@ -0,0 +1,274 @@
+// Package ranker chooses the upstream for one attempt of a request.
+//
+// All hosts rank the upstreams of a service in the same order for one object, by
+// rendezvous hashing, without asking each other. So an object goes to the same
+// few upstreams, which answer faster because they remember it, and a change of
+// the upstreams moves few objects. The first in the ranking is left for the next
+// one when it is behind by more than remembering the object saves.
+//
+// A Ranker is pure but for its estimates of how long work takes: time and state
+// come in as arguments.
+package ranker
+
+import (
+	"math"
+	"math/bits"
+	"sync"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+)
+
+const (
+	// near is how many upstreams of the planned region are compared.
+	near = 4
+	// far is how many upstreams of each other region are compared.
+	far = 2
+	// crossing is what leaving the planned region must save, so that small
+	// differences do not move traffic between regions.
+	crossing = 40 * time.Millisecond
+	// workWeight is the part of one answer in the estimates of work.
+	workWeight = 0.05
+	// defaultWork is the estimate of cold work before an answer has shown it.
+	defaultWork = 300 * time.Millisecond
+	// defaultGain is the part of cold work that an upstream saves that
+	// remembers the object, before answers have shown it.
+	defaultGain = 0.5
+	// failureCost is the time that a failed attempt costs the caller, in units
+	// of cold work: detecting it and running again.
+	failureCost = 2.0
+	// shedCost is the time that a refused attempt costs, in units of cold work.
+	// The budget of second attempts is spent on it.
+	shedCost = 1.0
+	// headroom is the part of an upstream's own queue that this host uses, in
+	// units of its slots. Upstreams shed beyond a few times their slots.
+	headroom = 2.0
+)
+
+// Distance gives the time to another region and back.
+type Distance func(region string) time.Duration
+
+// Query describes one attempt.
+type Query struct {
+	Group    *registrar.Group
+	Regions  []string  // that may serve the request, in a fixed order
+	Weights  []float64 // the planned part of each region
+	Object   uint64    // hash of the object, 0 for none
+	Draw     uint64    // random, used without an object
+	Left     time.Duration
+	Tried    []*registrar.Upstream
+	ColdRate func(u *registrar.Upstream) float64 // of this host, per second
+}
+
+// Choice is where an attempt goes.
+type Choice struct {
+	Upstream *registrar.Upstream // nil if none can answer in time
+	Wait     time.Duration       // expected in the upstream's queue
+	Work     time.Duration       // expected from dispatch to the answer
+	Warm     bool                // it probably remembers the object
+	Rank     int                 // in the region, 0 is the first
+	Planned  bool                // it is in the planned region
+	Load     float64             // requests there, of all hosts
+	Room     time.Duration       // without an upstream: until one has room
+}
+
+// Ranker chooses. It is safe for concurrent use.
+type Ranker struct {
+	distance Distance
+
+	mu    sync.RWMutex
+	works map[string]*work
+}
+
+type work struct {
+	mu         sync.Mutex
+	cold, warm float64 // seconds
+}
+
+// New returns a Ranker for a host from which regions have the given distances.
+func New(d Distance) *Ranker { return &Ranker{distance: d, works: make(map[string]*work)} }
+
+func (r *Ranker) work(service string) *work {
+	r.mu.RLock()
+	w := r.works[service]
+	r.mu.RUnlock()
+	if w != nil {
+		return w
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w = r.works[service]; w == nil {
+		w = &work{cold: defaultWork.Seconds(), warm: defaultWork.Seconds() * defaultGain}
+		r.works[service] = w
+	}
+	return w
+}
+
+// Observe records how long an answer took that did not wait at its upstream.
+func (r *Ranker) Observe(service string, warm bool, region string, took time.Duration) {
+	w := r.work(service)
+	took = max(0, took-r.distance(region))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if warm {
+		w.warm += workWeight * (took.Seconds() - w.warm)
+	} else {
+		w.cold += workWeight * (took.Seconds() - w.cold)
+	}
+}
+
+// Works returns the estimates of work for a service, without the way there.
+func (r *Ranker) Works(service string) (cold, warm time.Duration) {
+	w := r.work(service)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := max(w.cold, w.warm)
+	return seconds(c), seconds(min(w.warm, c))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// candidate is an upstream under comparison.
+type candidate struct {
+	Choice
+	cost time.Duration
+}
+
+// Choose returns the upstream that probably answers first, or the time until one
+// has room.
+func (r *Ranker) Choose(now time.Time, service string, q *Query) Choice {
+	home := q.home()
+	cold, warm := r.Works(service)
+	best := candidate{cost: math.MaxInt64}
+	room := time.Duration(math.MaxInt64)
+	for i, region := range q.Regions {
+		n := far
+		if i == home {
+			n = near
+		}
+		for rank, u := range q.rank(region, n) {
+			if u == nil || q.tried(u) {
+				continue
+			}
+			c := r.examine(now, u, q.Object, rank, cold, warm)
+			c.Planned = i == home
+			if !c.Planned {
+				c.cost += crossing
+			}
+			room = min(room, c.Wait)
+			if c.cost < best.cost && c.Wait+c.Work <= q.Left && r.admits(now, q, u) {
+				best = c
+			}
+		}
+	}
+	if best.Upstream == nil {
+		return Choice{Room: room}
+	}
+	if best.Upstream.Cold(now) && !best.Upstream.TakeCold(now, q.ColdRate(best.Upstream)) {
+		return Choice{Room: warm}
+	}
+	return best.Choice
+}
+
+// admits reports whether a cold upstream may get a request of this host at all.
+func (r *Ranker) admits(now time.Time, q *Query, u *registrar.Upstream) bool {
+	return !u.Cold(now) || (q.ColdRate(u) > 0 && u.ColdReady(now))
+}
+
+// examine estimates when the upstream would answer.
+func (r *Ranker) examine(now time.Time, u *registrar.Upstream, object uint64, rank int, cold, warm time.Duration) candidate {
+	known := object != 0 && u.Warm(object, now)
+	c := candidate{Choice: Choice{Upstream: u, Rank: rank, Warm: known, Load: u.Load(now), Work: cold}}
+	slow, bad := u.Quality(now)
+	if known {
+		c.Work = warm
+	}
+	mean := float64(warm+cold) / 2
+	if over := c.Load + 1 - float64(u.Slots()); over > 0 {
+		c.Wait = time.Duration(over * mean * slow / float64(u.Slots()))
+	}
+	// The first in the ranking learns the object for all hosts, so it counts as
+	// if it knew it.
+	work := c.Work
+	if rank == 0 && object != 0 {
+		work = warm
+	}
+	c.Work = time.Duration(float64(c.Work)*slow) + r.distance(u.Region())
+	c.cost = time.Duration(float64(work)*slow) + r.distance(u.Region()) + c.Wait
+	c.cost += time.Duration(bad * failureCost * float64(cold))
+	if u.Full(now) || c.Load >= float64(u.Slots())*(1+headroom) {
+		c.cost += time.Duration(shedCost * float64(cold))
+		c.Wait += warm
+	}
+	// A cold upstream takes twice its time, as far as is known.
+	if u.Cold(now) {
+		c.Work += cold
+	}
+	return c
+}
+
+func (q *Query) tried(u *registrar.Upstream) bool {
+	for _, t := range q.Tried {
+		if t.ID() == u.ID() {
+			return true
+		}
+	}
+	return false
+}
+
+// home returns the index of the region that the plan gives the object, by
+// weighted rendezvous hashing: changed weights move few objects.
+func (q *Query) home() int {
+	key := q.Object
+	if key == 0 {
+		key = q.Draw
+	}
+	best, at := math.Inf(-1), -1
+	for i, region := range q.Regions {
+		if q.Weights[i] <= 0 || len(q.Group.In(region)) == 0 {
+			continue
+		}
+		if s := score(mix(key, regionSeed+uint64(i)), q.Weights[i]); s > best {
+			best, at = s, i
+		}
+	}
+	return at
+}
+
+// regionSeed keeps the draws for regions apart from those for upstreams.
+const regionSeed = 0x9e3779b97f4a7c15
+
+// rank returns the first n upstreams of a region for the object.
+func (q *Query) rank(region string, n int) []*registrar.Upstream {
+	key := q.Object
+	if key == 0 {
+		key = q.Draw
+	}
+	top := make([]*registrar.Upstream, n)
+	scores := make([]float64, n)
+	for _, u := range q.Group.In(region) {
+		s := score(mix(key, u.Hash()), float64(u.Slots()))
+		for i := range top {
+			if top[i] == nil || s > scores[i] {
+				copy(top[i+1:], top[i:])
+				copy(scores[i+1:], scores[i:])
+				top[i], scores[i] = u, s
+				break
+			}
+		}
+	}
+	return top
+}
+
+// score is higher for a larger weight: with h uniform in (0, 1), -weight/ln(h)
+// makes each candidate win with the probability of its part of all weights.
+func score(h uint64, weight float64) float64 {
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
+}
+
+// mix combines two hashes into one that depends on all their bits.
+func mix(a, b uint64) uint64 {
+	hi, lo := bits.Mul64(a^0x2d358dccaa6c78a5, b^0x8bb84b93962eacc9)
+	return hi ^ lo
+}
--- /dev/null
+++ b/internal/request/steerer/attempt.go
@@ -0,0 +1,292 @@
+package steerer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
+	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
+	"dandeliontrack.example/dandeliontrack/internal/request/stripper"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+const (
+	// wholeAnswer is the size up to which an answer is read before the caller
+	// gets its first byte, so that a broken one can be replaced.
+	wholeAnswer = 1 << 20
+	streamSize  = 32 << 10
+	// stallTime is how long a streamed answer may make no progress.
+	stallTime = 10 * time.Second
+)
+
+// attempt is one request to one upstream. It runs in its own goroutine until its
+// result is read.
+type attempt struct {
+	x        *exchange
+	choice   ranker.Choice
+	up       *registrar.Upstream
+	start    time.Time
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	conn     *sender.Conn
+	signs    Signs
+	answer   *http.Response
+	body     []byte
+	whole    bool // body is the whole body
+	streamed bool // the request's body was read from the caller
+	status   int  // of an answer that may be passed on after err
+	err      error
+	took     time.Duration
+	done     atomic.Bool
+}
+
+func newAttempt(x *exchange, c ranker.Choice, now time.Time) *attempt {
+	a := &attempt{x: x, choice: c, up: c.Upstream, start: now}
+	parent := x.ctx
+	if !x.repeatable() {
+		// What may run only once is not broken off when its caller leaves.
+		parent = context.WithoutCancel(parent)
+	}
+	a.ctx, a.cancel = context.WithCancelCause(parent)
+	a.up.Begin()
+	return a
+}
+
+// stop ends the attempt if it is under way and may be broken off.
+func (a *attempt) stop() {
+	if a.x.repeatable() || time.Now().After(a.x.deadline) {
+		a.cancel(errHedged)
+	}
+}
+
+// run sends the request and reads the answer.
+func (a *attempt) run() {
+	defer a.up.End()
+	a.err = a.exchange()
+	now := time.Now()
+	a.took = now.Sub(a.start)
+	a.learn(now)
+	a.done.Store(true)
+}
+
+func (a *attempt) exchange() error {
+	x := a.x
+	var err error
+	if a.conn, err = x.s.o.Sender.Get(a.ctx, a.up.Address(), 0); err != nil {
+		return err
+	}
+	now := time.Now()
+	if x.ctx.Err() != nil || !now.Before(x.deadline) {
+		// The host may have been paused, or the caller may have left, while the
+		// connection was opened.
+		a.conn.Close()
+		return classifier.Expired.New("the deadline passed before dispatch")
+	}
+	r, err := a.request(now)
+	if err != nil {
+		a.conn.Close()
+		return err
+	}
+	if a.answer, err = a.conn.Do(a.ctx, r, x.deadline); err != nil {
+		return err
+	}
+	return a.check()
+}
+
+// request builds what is sent.
+func (a *attempt) request(now time.Time) (*sender.Request, error) {
+	x, in := a.x, a.x.call.Request
+	body := x.call.Body
+	if in.Body != nil {
+		a.streamed = true
+		var err error
+		if body, err = io.ReadAll(in.Body); err != nil {
+			return nil, classifier.BadRequest.Wrap(err, "request body")
+		}
+	}
+	h := make(http.Header, len(in.Header)+2)
+	stripper.Copy(h, in.Header, nil)
+	delete(h, "Content-Length")
+	x.s.o.Dialect.Address(h, a.up.ID(), x.deadline.Sub(now))
+	return &sender.Request{Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: h, Body: body}, nil
+}
+
+// check decides what the answer is worth, and reads a short one to its end.
+func (a *attempt) check() error {
+	s := a.answer.StatusCode
+	a.signs = a.x.s.o.Dialect.Signs(s, a.answer.Header)
+	switch {
+	case a.signs.NotRun:
+		a.discard()
+		return classifier.Shed.New("upstream %s refused the request before running it", a.up.ID())
+	case promises(s):
+		a.abandon()
+		return classifier.Failed.New("upstream %s answered %d without saying that the request did not run", a.up.ID(), s)
+	case s < http.StatusMultipleChoices && !a.signs.Signed:
+		a.abandon()
+		return classifier.Crossed.New("upstream %s answered %d without its signature", a.up.ID(), s)
+	}
+	if a.answer.ContentLength > wholeAnswer {
+		return nil
+	}
+	if err := a.read(); err != nil {
+		return err
+	}
+	if s >= http.StatusInternalServerError {
+		a.status = s
+		return classifier.Failed.New("upstream %s failed the request with %d", a.up.ID(), s)
+	}
+	return nil
+}
+
+// promises reports whether a status tells a caller that its request did not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// read reads the body, as far as it is short.
+func (a *attempt) read() error {
+	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
+	defer stop()
+	var b bytes.Buffer
+	if n := a.answer.ContentLength; n > 0 {
+		b.Grow(int(n) + bytes.MinRead)
+	}
+	n, err := io.Copy(&b, io.LimitReader(a.answer.Body, wholeAnswer+1))
+	a.body = b.Bytes()
+	switch {
+	case err != nil:
+		a.conn.Close()
+		return a.broken(err)
+	case n > wholeAnswer:
+		return nil // the rest is streamed
+	}
+	a.whole = true
+	a.conn.Done()
+	return nil
+}
+
+func (a *attempt) broken(err error) error {
+	if !time.Now().Before(a.x.deadline) {
+		return classifier.TimedOut.Wrap(err, "upstream "+a.up.ID())
+	}
+	return classifier.Truncated.Wrap(err, "upstream "+a.up.ID())
+}
+
+// discardMost bounds what is read of a refusal to keep its connection.
+const discardMost = 4 << 10
+
+func (a *attempt) discard() {
+	if _, err := io.CopyN(io.Discard, a.answer.Body, discardMost); err != io.EOF {
+		a.conn.Close()
+		return
+	}
+	a.conn.Done()
+}
+
+// abandon closes the connection, since the rest of the answer is not read.
+func (a *attempt) abandon() { a.conn.Close() }
+
+// header returns the header for the caller.
+func (a *attempt) header() http.Header {
+	h := make(http.Header, len(a.answer.Header))
+	stripper.Copy(h, a.answer.Header, nil)
+	return h
+}
+
+// stream passes a long answer on as it arrives.
+func (a *attempt) stream(to *acceptor.Answer) (int64, error) {
+	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
+	defer stop()
+	total, err := to.Write(a.body)
+	n := int64(total)
+	buf := make([]byte, streamSize)
+	for err == nil {
+		a.conn.Extend(time.Now().Add(stallTime))
+		var k int
+		k, err = a.answer.Body.Read(buf)
+		if k > 0 {
+			if _, failure := to.Write(buf[:k]); failure != nil {
+				a.conn.Close()
+				return n, failure
+			}
+			n += int64(k)
+		}
+	}
+	if err != io.EOF {
+		a.conn.Close()
+		return n, a.broken(err)
+	}
+	a.conn.Done()
+	return n, nil
+}
+
+// learn tells the upstream's state what the attempt showed.
+func (a *attempt) learn(now time.Time) {
+	if a.signs.Loaded {
+		a.up.Report(a.signs.Load, now)
+	}
+	cause := context.Cause(a.ctx)
+	switch kind := classifier.Of(a.err); {
+	case a.err == nil:
+		a.succeed(now)
+	case kind == classifier.Unreachable && !errors.Is(cause, context.Canceled):
+		a.up.Unreachable(now)
+	case kind == classifier.Shed && a.answer.StatusCode == http.StatusMisdirectedRequest:
+		// Another process has the address.
+		a.up.Unreachable(now)
+	case kind == classifier.Shed:
+		a.up.Shed(now)
+	case cause != nil || kind == classifier.TimedOut:
+		a.up.Late(now, float64(a.took)/float64(a.expected()))
+	case a.status != 0:
+		a.up.Failed(now)
+	case kind == classifier.Failed || kind == classifier.Truncated:
+		a.up.Lost(now)
+	}
+}
+
+func (a *attempt) expected() time.Duration {
+	return max(a.choice.Wait+a.choice.Work, time.Millisecond)
+}
+
+func (a *attempt) succeed(now time.Time) {
+	a.up.Answered(now, float64(a.took)/float64(a.expected()))
+	o := &a.x.s.o
+	if a.choice.Wait == 0 && !a.up.Cold(now) {
+		o.Ranker.Observe(a.x.service, a.choice.Warm, a.up.Region(), a.took)
+	}
+	if a.x.object != 0 {
+		a.up.Warmed(a.x.object, now)
+	}
+}
+
+// describe returns the attempt's part of the request's line.
+func (a *attempt) describe() *zerolog.Event {
+	d := zerolog.Dict().Str("upstream", a.up.ID()).Str("region", a.up.Region()).
+		Dur("wait", a.choice.Wait).Dur("work", a.choice.Work).Float64("load", a.choice.Load).
+		Int("rank", a.choice.Rank).Bool("warm", a.choice.Warm).Bool("planned", a.choice.Planned).
+		Dur("begun", a.start.Sub(a.x.call.Arrived))
+	if !a.done.Load() {
+		return d.Str("outcome", "under way")
+	}
+	d.Dur("took", a.took)
+	if a.err != nil {
+		return d.Str("outcome", classifier.Of(a.err).String()).AnErr("error", a.err)
+	}
+	return d.Str("outcome", "answered")
+}
--- /dev/null
+++ b/internal/request/steerer/steerer.go
@@ -0,0 +1,149 @@
+// Package steerer carries one request of a caller to an upstream of its route
+// and brings the answer back.
+//
+// It owns the rules that no choice of an upstream may break. A request that must
+// not be repeated is sent again only if the earlier attempt certainly did not
+// run. A refusal says "not run" only if that is certain. An answer reaches the
+// caller whole or visibly broken.
+package steerer
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
+	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
+	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
+	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
+)
+
+// Signs is what an upstream says with its answer, besides the answer.
+type Signs struct {
+	Signed   bool // the answer is the upstream's own
+	NotRun   bool // the upstream did not run the request and will not
+	Load     registrar.Load
+	Loaded   bool // Load was given
+	Instance string
+}
+
+// Dialect knows the names of the header fields that callers and upstreams use.
+type Dialect interface {
+	// Identity returns the ID of a request or answer, "" without one.
+	Identity(h http.Header) string
+	// Patience returns how long the caller will wait, and whether it said so.
+	Patience(h http.Header) (time.Duration, bool)
+	// Object returns what the request is about, "" if it does not say.
+	Object(r *http.Request) string
+	// Address completes the header of a request to an upstream.
+	Address(h http.Header, instance string, left time.Duration)
+	// Signs reads what an upstream says with an answer.
+	Signs(status int, h http.Header) Signs
+	// Identify puts the ID of a request on an answer of the host's own.
+	Identify(h http.Header, id string)
+}
+
+// Planner counts the requests of the host's callers and gives the parts that
+// regions serve.
+type Planner interface {
+	Count(service string)
+	Weights(service string) []float64
+}
+
+// Options configure a Steerer. All are needed, except Log and Meter.
+type Options struct {
+	Dialect Dialect
+	Table   func() *matcher.Table // nil without a configuration
+	Regions []string              // in the order of the plan's weights
+	Plan    Planner
+	// ColdRate returns how many requests per second this host may send to a cold
+	// upstream.
+	ColdRate  func(u *registrar.Upstream, perSecond float64) float64
+	Upstreams *registrar.Registrar
+	Ranker    *ranker.Ranker
+	Budget    *budgeter.Budgeter
+	Sender    *sender.Sender
+	Log       logger.Logger
+	Meter     *meter.Meter
+}
+
+// Steerer serves calls. It is safe for concurrent use.
+type Steerer struct {
+	o        Options
+	splitter splitter
+}
+
+// New returns a Steerer.
+func New(o Options) *Steerer {
+	if o.Meter == nil {
+		o.Meter = meter.New()
+	}
+	return &Steerer{o: o}
+}
+
+// Repeatable reports whether the request may run while earlier ones of its
+// connection are under way.
+func (s *Steerer) Repeatable(r *http.Request) bool {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		return false
+	}
+	t := s.o.Table()
+	if t == nil {
+		return false
+	}
+	route := t.Match(hostname(r.Host), r.URL.EscapedPath())
+	return route != nil && route.Class.Repeatable()
+}
+
+// defaultPatience bounds a request whose caller and route say nothing.
+const defaultPatience = 30 * time.Second
+
+// Serve implements acceptor.Handler.
+func (s *Steerer) Serve(ctx context.Context, c *acceptor.Call, a *acceptor.Answer) {
+	x := &exchange{s: s, ctx: ctx, call: c, answer: a, id: s.o.Dialect.Identity(c.Request.Header)}
+	err := x.prepare()
+	if err == nil {
+		err = x.serve()
+	}
+	x.end(err)
+}
+
+// prepare finds the route and the time that is left.
+func (x *exchange) prepare() error {
+	r := x.call.Request
+	x.table = x.s.o.Table()
+	if x.table == nil {
+		return errNoTable
+	}
+	x.route = x.table.Match(hostname(r.Host), r.URL.EscapedPath())
+	if x.route == nil {
+		return errNoRoute
+	}
+	patience := x.route.Timeout
+	if left, ok := x.s.o.Dialect.Patience(r.Header); ok {
+		patience = min(patience, left)
+	}
+	x.deadline = x.call.Arrived.Add(cmp.Or(patience, defaultPatience))
+	if object := x.s.o.Dialect.Object(r); object != "" && x.route.Sticky {
+		x.object = xxhash.Sum64String(object) ^ xxhash.Sum64String(x.route.Name)
+	}
+	x.draw = xxhash.Sum64String(x.id)
+	x.service = x.s.splitter.pick(x.route)
+	x.s.o.Budget.Request(x.service, time.Now())
+	x.s.o.Plan.Count(x.service)
+	return nil
+}
+
+// hostname returns the host without a port.
+func hostname(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return strings.ToLower(name)
+}
