Limit requests that leave their planned region

While all objects are unknown, the two upstreams of the poor region have queues, and its hosts sent 32 in 100 requests elsewhere; two seconds later none. Ruled out: the plan itself, which moves at most 0.075 in 2 s.

Change: 5 in 100 requests of a host may leave their planned region, and any number if upstreams there fail, are slow or cold.

Tests for the plan, the budget of second attempts, the copies of the store's tables and both connection packages.

--- /dev/null
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -0,0 +1,263 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
+)
+
+// handler answers with the path and, if the path asks for it, waits until it is
+// released or the caller leaves.
+type handler struct {
+	mu      sync.Mutex
+	served  []string
+	started chan string
+	release chan struct{}
+	left    chan string
+}
+
+func newHandler() *handler {
+	return &handler{started: make(chan string, 16), release: make(chan struct{}), left: make(chan string, 16)}
+}
+
+func (h *handler) Serve(ctx context.Context, c *acceptor.Call, a *acceptor.Answer) {
+	path := c.Request.URL.Path
+	h.mu.Lock()
+	h.served = append(h.served, path)
+	h.mu.Unlock()
+	h.started <- path
+	if strings.HasPrefix(path, "/slow") {
+		select {
+		case <-h.release:
+		case <-ctx.Done():
+			h.left <- path
+			return
+		}
+	}
+	body := path + " " + string(c.Body)
+	if a.Start(http.StatusOK, http.Header{}, int64(len(body))) == nil {
+		_, _ = a.Write([]byte(body))
+	}
+}
+
+func (h *handler) paths() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return strings.Join(h.served, " ")
+}
+
+func start(t *testing.T, h acceptor.Handler) (*acceptor.Acceptor, func() net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a := acceptor.New(acceptor.Options{Handler: h, Repeatable: func(r *http.Request) bool { return r.Method == http.MethodGet }})
+	go func() { _ = a.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return a, func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(c, text)
+	assert.NilError(t, err)
+}
+
+func read(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	r, err := http.ReadResponse(br, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(r.Body)
+	assert.NilError(t, err)
+	return r, string(body)
+}
+
+// Guards against look-ups of one connection that wait for each other, and
+// against answers out of order.
+func TestPipelinedLookUpsRunTogether(t *testing.T) {
+	h := newHandler()
+	_, dial := start(t, h)
+	c := dial()
+	send(t, c, "GET /slow/1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+	for range 3 {
+		<-h.started
+	}
+	close(h.release)
+	br := bufio.NewReader(c)
+	for _, want := range []string{"/slow/1 ", "/2 ", "/3 "} {
+		_, body := read(t, br)
+		assert.Equal(t, body, want)
+	}
+}
+
+// Guards against a request that may run only once starting while an earlier one
+// of its connection may still close it.
+func TestOtherRequestsWait(t *testing.T) {
+	h := newHandler()
+	_, dial := start(t, h)
+	c := dial()
+	send(t, c, "GET /slow/1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+	assert.Equal(t, <-h.started, "/slow/1")
+	assert.Equal(t, h.paths(), "/slow/1")
+	close(h.release)
+	br := bufio.NewReader(c)
+	_, body := read(t, br)
+	assert.Equal(t, body, "/slow/1 ")
+	_, body = read(t, br)
+	assert.Equal(t, body, "/2 abc")
+}
+
+// Guards against work for a caller that left, also with requests behind it.
+func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	h := newHandler()
+	_, dial := start(t, h)
+	c := dial()
+	send(t, c, "GET /slow/1 HTTP/1.1\r\nHost: a\r\n\r\nGET /slow/2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-h.started
+	<-h.started
+	assert.NilError(t, c.Close())
+	<-h.left
+	<-h.left
+}
+
+// Guards against framing that an upstream could read in another way, and against
+// a second request hidden in the first.
+func TestAmbiguousFramingIsRefused(t *testing.T) {
+	for name, head := range map[string]string{
+		"length and chunks":  "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\nHost: a\r\n\r\n",
+		"two lengths":        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+		"signed length":      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\nabcde",
+		"folded header":      "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n 2\r\n\r\n",
+		"bare line feed":     "GET / HTTP/1.1\r\nHost: a\nX: 1\r\n\r\n",
+		"space before colon": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 5\r\n\r\nabcde",
+		"no colon":           "GET / HTTP/1.1\r\nHost: a\r\nX\r\n\r\n",
+		"other encoding":     "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"chunk extension":    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHandler()
+			_, dial := start(t, h)
+			c := dial()
+			send(t, c, head)
+			br := bufio.NewReader(c)
+			r, _ := read(t, br)
+			assert.Assert(t, r.StatusCode >= 400 && r.StatusCode <= 501, "%d", r.StatusCode)
+			assert.Assert(t, r.Close)
+			_, err := br.ReadByte()
+			assert.Equal(t, err, io.EOF)
+			assert.Equal(t, h.paths(), "")
+		})
+	}
+}
+
+// Guards against a stop that loses a request which was read, or an answer.
+func TestStopFinishesWhatWasRead(t *testing.T) {
+	h := newHandler()
+	a, dial := start(t, h)
+	busy, idle := dial(), dial()
+	send(t, idle, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	idleReader := bufio.NewReader(idle)
+	read(t, idleReader)
+	<-h.started
+	send(t, busy, "GET /slow/1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-h.started
+	a.Stop()
+	a.CloseIdle()
+	_, err := idleReader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, a.Active(), 1)
+	close(h.release)
+	r, body := read(t, bufio.NewReader(busy))
+	assert.Equal(t, body, "/slow/1 ")
+	assert.Assert(t, r.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	a.Wait(ctx)
+	assert.NilError(t, ctx.Err())
+}
+
+// Guards against an idle connection that is closed while its caller may still
+// use it after a stop began.
+func TestStoppingHostAnswersKeptConnections(t *testing.T) {
+	h := newHandler()
+	a, dial := start(t, h)
+	c := dial()
+	br := bufio.NewReader(c)
+	send(t, c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	read(t, br)
+	a.Stop()
+	send(t, c, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	r, body := read(t, br)
+	assert.Equal(t, body, "/2 ")
+	assert.Assert(t, r.Close)
+}
+
+// breaking starts an answer and does not complete it.
+type breaking struct{ known bool }
+
+func (b breaking) Serve(_ context.Context, _ *acceptor.Call, a *acceptor.Answer) {
+	length := int64(-1)
+	if b.known {
+		length = 10
+	}
+	_ = a.Start(http.StatusOK, http.Header{}, length)
+	_, _ = a.Write([]byte("abc"))
+	_ = a.Flush()
+	if !b.known {
+		a.Abort()
+	}
+}
+
+// Guards against a part of an answer that looks like the whole.
+func TestBrokenAnswerIsVisible(t *testing.T) {
+	for name, h := range map[string]breaking{"length": {known: true}, "chunks": {}} {
+		t.Run(name, func(t *testing.T) {
+			_, dial := start(t, h)
+			c := dial()
+			send(t, c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				return // the reset overtook the header
+			}
+			_, err = io.ReadAll(r.Body)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+// FuzzRequests guards against input that runs more requests than RFC 9112 finds
+// in it: what is answered with success was served, once each.
+func FuzzRequests(f *testing.F) {
+	f.Add("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, input string) {
+		h := newHandler()
+		h.started = make(chan string, 1024)
+		close(h.release)
+		_, dial := start(t, h)
+		c := dial()
+		_, _ = io.WriteString(c, input)
+		_ = c.(*net.TCPConn).CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, _ = io.Copy(io.Discard, c)
+		if strings.Contains(strings.ToLower(input), "content-length") && strings.Contains(strings.ToLower(input), "transfer-encoding") {
+			return
+		}
+		assert.Assert(t, len(strings.Fields(h.paths())) <= strings.Count(input, "\r\n\r\n"))
+	})
+}
--- /dev/null
+++ b/internal/connection/sender/sender_test.go
@@ -0,0 +1,188 @@
+package sender_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// upstream answers each connection by a script: one function for each request.
+func upstream(t *testing.T, script ...func(c net.Conn)) (address string, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	requests = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					n := requests.Add(1)
+					script[min(int(n), len(script))-1](c)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+func answer(text string) func(net.Conn) {
+	return func(c net.Conn) { _, _ = io.WriteString(c, text) }
+}
+
+func cut(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, _ = io.WriteString(c, text)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func newSender(t *testing.T) *sender.Sender {
+	t.Helper()
+	s := sender.New(sender.Options{Own: func(request, answer sender.Header) bool {
+		return answer.Get("Id") == "" || answer.Get("Id") == request.Get("Id")
+	}})
+	t.Cleanup(s.Close)
+	return s
+}
+
+func do(t *testing.T, s *sender.Sender, address, id string) (string, error) {
+	t.Helper()
+	c, err := s.Get(t.Context(), address, 0)
+	if err != nil {
+		return "", err
+	}
+	r := &sender.Request{Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("x")}
+	a, err := c.Do(t.Context(), r, time.Now().Add(10*time.Second))
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		c.Close()
+		return "", err
+	}
+	c.Done()
+	return string(body), nil
+}
+
+const first = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nfirst"
+
+// Guards against an answer that is sent twice, the second time where the answer
+// to the next request is due.
+func TestSecondAnswerIsSkipped(t *testing.T) {
+	second := "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 6\r\n\r\nsecond"
+	address, requests := upstream(t, answer(first), answer(first+second))
+	s := newSender(t)
+	body, err := do(t, s, address, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "first")
+	body, err = do(t, s, address, "2")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "second")
+	assert.Equal(t, requests.Load(), int64(2))
+	assert.Equal(t, s.Opened(), int64(1))
+}
+
+// Guards against a request that is sent again by itself after its connection
+// broke, and against an error kind that says it did not run.
+func TestLostAnswerMayHaveRun(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){
+		"reset":          cut(""),
+		"half a header":  cut("HTTP/1.1 200"),
+		"no protocol":    cut("garbage\r\n\r\n"),
+		"other's answer": cut("HTTP/1.1 200 OK\r\nId: 9\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, requests := upstream(t, answer(first), end)
+			s := newSender(t)
+			_, err := do(t, s, address, "1")
+			assert.NilError(t, err)
+			_, err = do(t, s, address, "2")
+			assert.Equal(t, classifier.Of(err).Outcome(), classifier.MayHaveRun, "%v", err)
+			assert.Equal(t, requests.Load(), int64(2))
+		})
+	}
+}
+
+// Guards against bytes behind an answer that are taken for the next one.
+func TestConnectionWithExtraBytesIsClosed(t *testing.T) {
+	address, _ := upstream(t, answer(first+"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), answer("HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nok"))
+	s := newSender(t)
+	_, err := do(t, s, address, "1")
+	assert.NilError(t, err)
+	body, err := do(t, s, address, "2")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, s.Opened(), int64(2))
+}
+
+// Guards against an answer that ends early and looks complete.
+func TestBrokenBodyIsAnError(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+		"chunks":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"unframed": "HTTP/1.1 200 OK\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := upstream(t, cut(text))
+			_, err := do(t, newSender(t), address, "1")
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+// Guards against waiting for an upstream that is gone, and against calling that
+// "may have run".
+func TestUnreachableDidNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, err = do(t, newSender(t), address, "1")
+	assert.Equal(t, classifier.Of(err), classifier.Unreachable)
+}
+
+// Guards against work that goes on at an upstream after its caller left: the
+// connection is closed.
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed, arrived := make(chan struct{}), make(chan struct{})
+	address, _ := upstream(t, func(c net.Conn) {
+		close(arrived)
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	s := newSender(t)
+	c, err := s.Get(t.Context(), address, 0)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err = c.Do(ctx, &sender.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, time.Now().Add(time.Minute))
+	assert.Equal(t, classifier.Of(err).Outcome(), classifier.MayHaveRun)
+	<-closed
+}
--- a/internal/process/apportioner/apportioner.go
+++ b/internal/process/apportioner/apportioner.go
@@ -16,13 +16,21 @@
 // requests leave the region. Above it, queues grow with every burst.
 const roomy = 0.7
 
+// crossing is the part of a host's requests that may leave their planned region
+// because another one answers sooner. What crosses in one moment and not in the
+// next counts as a shift, as do changes of the plan.
+const crossing = 0.05
+
 // Apportioner keeps the plan of one host. It is safe for concurrent use.
 type Apportioner struct {
 	own  int // index of the host's region
 	step float64
 
-	mu    sync.Mutex
-	plans map[string]*plan
+	start time.Time
+
+	mu     sync.Mutex
+	plans  map[string]*plan
+	window window
 }
 
 type plan struct {
@@ -33,7 +41,7 @@
 // New returns an Apportioner for a host in the region with the index own. Step
 // is the largest part of the requests that changes region within a second.
 func New(own int, step float64) *Apportioner {
-	return &Apportioner{own: own, step: step, plans: make(map[string]*plan)}
+	return &Apportioner{own: own, step: step, start: time.Now(), plans: make(map[string]*plan)}
 }
 
 // Target returns the parts of the requests of region own that each region
@@ -112,6 +120,32 @@
 	return p.weights
 }
 
+// Count adds a request to those of which a part may cross.
+func (a *Apportioner) Count(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	a.window.all[a.window.slot%buckets]++
+}
+
+// Cross reports whether one more request may leave its planned region, and
+// counts it. With forced set it may in any case.
+func (a *Apportioner) Cross(now time.Time, forced bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	all, cross := a.window.sums()
+	if !forced && float64(cross+1) > crossing*float64(all) {
+		return false
+	}
+	a.window.cross[a.window.slot%buckets]++
+	return true
+}
+
+func (a *Apportioner) advance(now time.Time) {
+	a.window.advance(int64(now.Sub(a.start) / (span / buckets)))
+}
+
 // Current returns the plan for a service as it was moved last, or nil.
 func (a *Apportioner) Current(service string) []float64 {
 	a.mu.Lock()
--- /dev/null
+++ b/internal/process/apportioner/apportioner_test.go
@@ -0,0 +1,84 @@
+package apportioner_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
+)
+
+// Guards against plans that overload one region while another has room, and
+// against requests that leave their region without need.
+func TestTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		own           int
+		demand, slots []float64
+		want          []float64
+	}{
+		"room at home":             {0, []float64{10, 10, 10}, []float64{40, 40, 40}, []float64{1, 0, 0}},
+		"poor region":              {1, []float64{20, 20, 20}, []float64{54, 18, 54}, []float64{0.185, 0.63, 0.185}},
+		"all full":                 {1, []float64{60, 60, 60}, []float64{54, 18, 54}, []float64{0.286, 0.429, 0.286}},
+		"no upstreams at home":     {1, []float64{10, 10, 10}, []float64{40, 0, 40}, []float64{0.5, 0, 0.5}},
+		"no upstreams":             {0, []float64{10, 10}, []float64{0, 0}, []float64{0, 0}},
+		"unknown demand, balanced": {0, []float64{0, 0, 0}, []float64{40, 40, 40}, []float64{1, 0, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := apportioner.Target(c.own, c.demand, c.slots)
+			total := 0.0
+			for i := range got {
+				total += got[i]
+				assert.Assert(t, math.Abs(got[i]-c.want[i]) < 0.01, "%v", got)
+			}
+			if name != "no upstreams" {
+				assert.Assert(t, math.Abs(total-1) < 1e-9, "%v", got)
+			}
+		})
+	}
+}
+
+// Guards against a plan that follows a change of demand faster than the limit of
+// shifts allows, however often it is asked.
+func TestPlanMovesInSteps(t *testing.T) {
+	a := apportioner.New(0, 0.0375)
+	now := time.Now()
+	slots := []float64{10, 50}
+	first := a.Weights(now, "s", []float64{5, 5}, slots)
+	assert.Equal(t, first[0], 1.0)
+	for i := 1; i <= 20; i++ {
+		a.Weights(now.Add(time.Duration(i)*100*time.Millisecond), "s", []float64{50, 5}, slots)
+	}
+	moved := first[0] - a.Current("s")[0]
+	assert.Assert(t, moved > 0.07 && moved <= 0.0751, "%v", moved)
+}
+
+// Guards against requests that wait for a plan to move while their region has no
+// upstream any more.
+func TestRegionWithoutUpstreamsIsLeftAtOnce(t *testing.T) {
+	a := apportioner.New(0, 0.0375)
+	now := time.Now()
+	a.Weights(now, "s", []float64{5, 5, 5}, []float64{20, 20, 20})
+	w := a.Weights(now.Add(time.Millisecond), "s", []float64{5, 5, 5}, []float64{0, 20, 20})
+	assert.Equal(t, w[0], 0.0)
+	assert.Assert(t, math.Abs(w[1]+w[2]-1) < 1e-9)
+}
+
+// Guards against hosts that react to every queue by crossing to another region:
+// SHIFT was broken on a calm start, when 32% of a region's requests crossed in
+// the first two seconds and none after.
+func TestCrossingIsLimited(t *testing.T) {
+	a := apportioner.New(0, 0.0375)
+	now := time.Now()
+	crossed := 0
+	for i := range 1000 {
+		at := now.Add(time.Duration(i) * 2 * time.Millisecond)
+		a.Count(at)
+		if a.Cross(at, false) {
+			crossed++
+		}
+	}
+	assert.Assert(t, crossed > 30 && crossed <= 50, "%d", crossed)
+	assert.Assert(t, a.Cross(now.Add(2*time.Second), true))
+}
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -173,7 +173,13 @@
 }
 
 // Count implements steerer.Planner.
-func (c *Conductor) Count(service string) { c.surveyor.Count(service) }
+func (c *Conductor) Count(service string) {
+	c.surveyor.Count(service)
+	c.plan.Count(time.Now())
+}
+
+// Cross implements steerer.Planner.
+func (c *Conductor) Cross(failing bool) bool { return c.plan.Cross(time.Now(), failing) }
 
 // Weights implements steerer.Planner.
 func (c *Conductor) Weights(service string) []float64 {
--- /dev/null
+++ b/internal/process/follower/follower_test.go
@@ -0,0 +1,191 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// store is a table whose feed can fail, forget or hide changes.
+type store struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]follower.Row
+	floor   uint64 // history before it is gone
+	down    error
+	reads   int
+}
+
+func newStore() *store { return &store{rows: make(map[string]follower.Row)} }
+
+func (s *store) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows[key] = follower.Row{Key: key, Value: []byte(value), Version: s.version, Deleted: value == ""}
+}
+
+func (s *store) Read(context.Context, string) (follower.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	p := follower.Page{Version: s.version}
+	for _, r := range s.rows {
+		if !r.Deleted {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p, s.down
+}
+
+func (s *store) Changes(_ context.Context, _ string, after uint64) (follower.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down != nil {
+		return follower.Page{}, s.down
+	}
+	if after < s.floor {
+		return follower.Page{}, classifier.Unknown.New("the history is gone")
+	}
+	p := follower.Page{Version: s.version}
+	for _, r := range s.rows {
+		if r.Version > after {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p, nil
+}
+
+// table is what a host believes.
+type table struct {
+	mu     sync.Mutex
+	rows   map[string]string
+	events []string
+}
+
+func newTable() *table { return &table{rows: make(map[string]string)} }
+
+func (w *table) Rows(_ string, rows []follower.Row, _, _ bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range rows {
+		if r.Deleted {
+			delete(w.rows, r.Key)
+		} else {
+			w.rows[r.Key] = string(r.Value)
+		}
+	}
+}
+
+func (w *table) Store(_ string, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events = append(w.events, fmt.Sprint(err != nil))
+}
+
+func (w *table) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fmt.Sprint(w.rows)
+}
+
+// Guards against a copy that misses changes, deletions, or what happened while
+// the history was dropped.
+func TestFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, w := newStore(), newTable()
+		s.put("a", "1")
+		f := follower.New("t", s, 100*time.Millisecond, w)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		s.put("b", "2")
+		s.put("a", "")
+		time.Sleep(time.Second)
+		assert.Equal(t, w.String(), "map[b:2]")
+		s.mu.Lock()
+		s.rows = map[string]follower.Row{"c": {Key: "c", Value: []byte("3"), Version: 9}}
+		s.version, s.floor = 9, 9
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		assert.Equal(t, w.String(), "map[c:3]")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against calls that pile up on a failing store, and against an outage
+// that is logged once a call.
+func TestBacksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, w := newStore(), newTable()
+		s.down = errors.New("down")
+		f := follower.New("t", s, 0, w)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(20 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Assert(t, s.reads >= 10 && s.reads <= 50, "%d", s.reads)
+		assert.Equal(t, fmt.Sprint(w.events), "[true]")
+	})
+}
+
+// Guards against a host that the store turns away and that then goes on with old
+// rows although other hosts know newer ones.
+func TestCopiesBringEachOtherForward(t *testing.T) {
+	s := newStore()
+	copyOf := func(w *table) *follower.Follower { return follower.New("t", s, 0, w) }
+	first, second := newTable(), newTable()
+	a, b := copyOf(first), copyOf(second)
+	fill := func(f *follower.Follower) {
+		p, err := s.Read(t.Context(), "t")
+		assert.NilError(t, err)
+		f.Merge(p, true)
+	}
+	pass := func(from, to *follower.Follower) {
+		if p, whole, ok := from.Since(to.Version()); ok {
+			to.Merge(p, whole)
+		}
+	}
+	s.put("a", "1")
+	s.put("b", "2")
+	fill(a)
+	pass(a, b)
+	assert.Equal(t, second.String(), "map[a:1 b:2]")
+
+	s.put("a", "")
+	s.put("c", "3")
+	p, err := s.Changes(t.Context(), "t", a.Version())
+	assert.NilError(t, err)
+	a.Merge(p, false)
+	pass(b, a) // the older copy changes nothing
+	pass(a, b)
+	assert.Equal(t, second.String(), "map[b:2 c:3]")
+	assert.Equal(t, first.String(), second.String())
+
+	// After a whole read the deletions before it are not known any more.
+	s.put("b", "")
+	fill(a)
+	pass(a, b)
+	assert.Equal(t, second.String(), "map[c:3]")
+}
+
+// Guards against an answer that was overtaken and brings old rows back.
+func TestOldPagesChangeNothing(t *testing.T) {
+	w := newTable()
+	f := follower.New("t", newStore(), 0, w)
+	f.Merge(follower.Page{Version: 5, Rows: []follower.Row{{Key: "a", Value: []byte("new"), Version: 5}}}, true)
+	f.Merge(follower.Page{Version: 4, Rows: []follower.Row{{Key: "a", Value: []byte("old"), Version: 4}}}, true)
+	assert.Equal(t, w.String(), "map[a:new]")
+	assert.Equal(t, f.Version(), uint64(5))
+}
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -40,6 +40,10 @@
 	// shedCost is the time that a refused attempt costs, in units of cold work.
 	// The budget of second attempts is spent on it.
 	shedCost = 1.0
+	// doubtBad and doubtSlow are the part of failed requests, and the factor of
+	// slowness, from which an upstream's requests may leave the region at will.
+	doubtBad  = 0.3
+	doubtSlow = 3.0
 	// idle is the part of an upstream's slots that may be busy when it gets an
 	// object that it does not know. Teaching an object to an upstream costs
 	// several times the work of a known one. A fleet that spreads its objects
@@ -56,14 +60,17 @@
 // Query describes one attempt.
 type Query struct {
 	Group    *registrar.Group
-	Regions  []string  // that may serve the request, in a fixed order
-	Weights  []float64 // the planned part of each region
-	Object   uint64    // hash of the object, 0 for none
-	Draw     uint64    // random, used without an object
+	Regions  []string      // that may serve the request, in a fixed order
+	Weights  []float64     // the planned part of each region
+	Object   uint64        // hash of the object, 0 for none
+	Draw     uint64        // random, used without an object
 	Left     time.Duration // until the deadline
 	Target   time.Duration // until the answer loses most of its worth
 	Tried    []*registrar.Upstream
 	ColdRate func(u *registrar.Upstream) float64 // of this host, per second
+	// Cross reports whether the request may leave its planned region, and counts
+	// it if so. Failing means that upstreams of that region fail. Nil allows all.
+	Cross func(failing bool) bool
 }
 
 // Choice is where an attempt goes.
@@ -137,7 +144,8 @@
 // candidate is an upstream under comparison.
 type candidate struct {
 	Choice
-	cost time.Duration
+	cost     time.Duration
+	doubtful bool // it fails requests, is much slower than its peers, or cold
 }
 
 // Choose returns the upstream that probably answers first, or the time until one
@@ -145,8 +153,7 @@
 func (r *Ranker) Choose(now time.Time, service string, q *Query) Choice {
 	home := q.home()
 	cold, warm := r.Works(service)
-	best := candidate{cost: math.MaxInt64}
-	room := time.Duration(math.MaxInt64)
+	s := search{planned: candidate{cost: math.MaxInt64}, other: candidate{cost: math.MaxInt64}, room: math.MaxInt64}
 	for i, region := range q.Regions {
 		n := far
 		if i == home {
@@ -158,18 +165,15 @@
 			}
 			c := r.examine(now, u, q.Object, rank, cold, warm)
 			c.Planned = i == home
-			if !c.Planned {
-				c.cost += crossing
-			}
-			most := max(q.Target-c.Work, time.Duration(patience*float64(q.Target)))
-			room = min(room, c.Wait-most)
-			if c.cost < best.cost && c.Wait <= most && c.Wait+c.Work <= q.Left && c.taught(now, q.Object) && r.admits(now, q, u) {
-				best = c
-			}
+			s.consider(now, q, &c)
 		}
 	}
+	best := s.planned
+	if s.other.Upstream != nil && s.other.cost+crossing < s.planned.cost && q.cross(s.failing || len(q.Tried) > 0 || home < 0) {
+		best = s.other
+	}
 	if best.Upstream == nil {
-		return Choice{Room: max(0, room)}
+		return Choice{Room: max(0, s.room)}
 	}
 	if best.Upstream.Cold(now) && !best.Upstream.TakeCold(now, q.ColdRate(best.Upstream)) {
 		return Choice{Room: warm}
@@ -177,8 +181,32 @@
 	return best.Choice
 }
 
+// search is the comparison of the candidates for one query.
+type search struct {
+	planned, other candidate     // the best in the planned region and elsewhere
+	room           time.Duration // least time until a candidate has room
+	failing        bool          // a candidate of the planned region is doubtful
+}
+
+// consider compares one more candidate with the best so far.
+func (s *search) consider(now time.Time, q *Query, c *candidate) {
+	best := &s.other
+	if c.Planned {
+		best = &s.planned
+		s.failing = s.failing || c.doubtful
+	}
+	most := max(q.Target-c.Work, time.Duration(patience*float64(q.Target)))
+	s.room = min(s.room, c.Wait-most)
+	if c.cost >= best.cost || c.Wait > most || c.Wait+c.Work > q.Left {
+		return
+	}
+	if c.taught(now, q.Object) && admits(now, q, c.Upstream) {
+		*best = *c
+	}
+}
+
 // admits reports whether a cold upstream may get a request of this host at all.
-func (r *Ranker) admits(now time.Time, q *Query, u *registrar.Upstream) bool {
+func admits(now time.Time, q *Query, u *registrar.Upstream) bool {
 	return !u.Cold(now) || (q.ColdRate(u) > 0 && u.ColdReady(now))
 }
 
@@ -212,6 +240,7 @@
 	c.Work = time.Duration(float64(c.Work)*slow) + r.distance(u.Region())
 	c.cost = time.Duration(float64(work)*slow) + r.distance(u.Region()) + c.Wait
 	c.cost += time.Duration(bad * failureCost * float64(cold))
+	c.doubtful = bad > doubtBad || slow > doubtSlow || u.Cold(now)
 	if u.Full(now) {
 		c.cost += time.Duration(shedCost * float64(cold))
 	}
@@ -222,6 +251,8 @@
 	return c
 }
 
+func (q *Query) cross(failing bool) bool { return q.Cross == nil || q.Cross(failing) }
+
 func (q *Query) tried(u *registrar.Upstream) bool {
 	for _, t := range q.Tried {
 		if t.ID() == u.ID() {
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -117,80 +117,100 @@
 	return ranker.Choice{Upstream: a}
 }
 
-func play(l load, choose chooser) (out outcome) {
-	now := time.Unix(1000, 0)
-	rng := rand.New(rand.NewPCG(1, 2))
-	hosts := make([]*host, l.hosts)
-	index := make(map[string]int)
-	for i := range hosts {
+// world is one run of a load.
+type world struct {
+	load    load
+	choose  chooser
+	rng     *rand.Rand
+	hosts   []*host
+	index   map[string]int
+	servers []*server
+	queue   events
+	out     outcome
+}
+
+func newWorld(l load, choose chooser, now time.Time) *world {
+	w := &world{
+		load: l, choose: choose, rng: rand.New(rand.NewPCG(1, 2)), hosts: make([]*host, l.hosts),
+		index: make(map[string]int), servers: make([]*server, l.upstreams),
+	}
+	for i := range w.hosts {
 		r := registrar.New(map[string]string{"z": "r"})
 		for u := range l.upstreams {
 			id := fmt.Sprintf("u%d", u)
-			index[id] = u
+			w.index[id] = u
 			r.Put(registrar.Registration{ID: id, Service: "prices", Address: id, Zone: "z", Slots: l.slots, Version: 1}, now, true)
 		}
-		hosts[i] = &host{r, ranker.New(func(string) time.Duration { return 0 }), rand.New(rand.NewPCG(uint64(i), 3)), l}
-	}
-	servers := make([]*server, l.upstreams)
-	for i := range servers {
-		servers[i] = new(server)
+		w.hosts[i] = &host{r, ranker.New(func(string) time.Duration { return 0 }), rand.New(rand.NewPCG(uint64(i), 3)), l}
 	}
-	var queue events
-	start, end := now, now.Add(l.length)
-	push := func(e event) { heap.Push(&queue, e) }
-	run := func(u int, req *request, at time.Time) {
-		s := servers[u]
-		s.running++
-		work := l.cold
-		if s.use(req.object) {
-			work = l.warm
-		} else {
-			out.cold++
-		}
-		push(event{at: at.Add(work), upstream: u, req: req})
+	for i := range w.servers {
+		w.servers[i] = new(server)
 	}
-	push(event{at: now, upstream: -1})
+	return w
+}
+
+func play(l load, choose chooser) outcome {
+	start := time.Unix(1000, 0)
+	w := newWorld(l, choose, start)
+	heap.Push(&w.queue, event{at: start, upstream: -1})
 	lost := l.lost == 0
-	for len(queue) > 0 {
-		e := heap.Pop(&queue).(event)
-		now = e.at
-		if !lost && now.Sub(start) >= l.lost {
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		if !lost && e.at.Sub(start) >= l.lost {
 			lost = true
-			for _, s := range servers {
+			for _, s := range w.servers {
 				s.known = nil
 			}
 		}
-		if e.upstream < 0 {
-			if now.Before(end) {
-				push(event{at: now.Add(time.Duration(rng.ExpFloat64() / l.perSecond * float64(time.Second))), upstream: -1})
-			}
-			req := &request{object: rng.Uint64N(uint64(l.objects)) + 1, arrived: now, host: rng.IntN(l.hosts)}
-			h := hosts[req.host]
-			req.choice = choose(h, now, req.object*0x9e3779b97f4a7c15)
-			if req.choice.Upstream == nil {
-				out.refused++
-				continue
-			}
-			req.choice.Upstream.Begin()
-			u := index[req.choice.Upstream.ID()]
-			if s := servers[u]; s.running < l.slots {
-				run(u, req, now)
-			} else {
-				s.queue = append(s.queue, req)
-			}
+		if e.upstream >= 0 {
+			w.end(e)
 			continue
 		}
-		s := servers[e.upstream]
-		s.running--
-		s.learn(e.req.object, l.keeps)
-		if len(s.queue) > 0 {
-			next := s.queue[0]
-			s.queue = s.queue[1:]
-			run(e.upstream, next, now)
+		w.arrive(e.at)
+		if gap := time.Duration(w.rng.ExpFloat64() / l.perSecond * float64(time.Second)); e.at.Add(gap).Sub(start) < l.length {
+			heap.Push(&w.queue, event{at: e.at.Add(gap), upstream: -1})
 		}
-		finish(hosts[e.req.host], e.req, s, now, &out, l)
 	}
-	return out
+	return w.out
+}
+
+func (w *world) arrive(now time.Time) {
+	req := &request{object: w.rng.Uint64N(uint64(w.load.objects)) + 1, arrived: now, host: w.rng.IntN(w.load.hosts)}
+	req.choice = w.choose(w.hosts[req.host], now, req.object*0x9e3779b97f4a7c15)
+	if req.choice.Upstream == nil {
+		w.out.refused++
+		return
+	}
+	req.choice.Upstream.Begin()
+	u := w.index[req.choice.Upstream.ID()]
+	if s := w.servers[u]; s.running >= w.load.slots {
+		s.queue = append(s.queue, req)
+		return
+	}
+	w.run(u, req, now)
+}
+
+func (w *world) run(u int, req *request, now time.Time) {
+	s := w.servers[u]
+	s.running++
+	work := w.load.warm
+	if !s.use(req.object) {
+		work = w.load.cold
+		w.out.cold++
+	}
+	heap.Push(&w.queue, event{at: now.Add(work), upstream: u, req: req})
+}
+
+func (w *world) end(e event) {
+	s := w.servers[e.upstream]
+	s.running--
+	s.learn(e.req.object, w.load.keeps)
+	if len(s.queue) > 0 {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		w.run(e.upstream, next, e.at)
+	}
+	finish(w.hosts[e.req.host], e.req, s, e.at, &w.out, w.load)
 }
 
 func finish(h *host, req *request, s *server, now time.Time, out *outcome, l load) {
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -222,7 +222,7 @@
 	o := &x.s.o
 	q := ranker.Query{
 		Group: o.Upstreams.Group(x.service), Regions: o.Regions, Weights: o.Plan.Weights(x.service),
-		Object: x.object, Draw: x.draw, Left: left, Target: x.route.Target, Tried: x.tried, ColdRate: x.coldRate,
+		Object: x.object, Draw: x.draw, Left: left, Target: x.route.Target, Tried: x.tried, ColdRate: x.coldRate, Cross: o.Plan.Cross,
 	}
 	if q.Group == nil {
 		return ranker.Choice{Room: retryMost}
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -56,6 +56,8 @@
 type Planner interface {
 	Count(service string)
 	Weights(service string) []float64
+	// Cross reports whether a request may leave its planned region now.
+	Cross(failing bool) bool
 }
 
 // Options configure a Steerer. All are needed, except Log and Meter.
