--- /dev/null
+++ b/internal/request/steerer/steerer_test.go
@@ -0,0 +1,310 @@
+package steerer_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
+	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
+	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
+	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
+	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
+)
+
+// dialect has header fields of its own.
+type dialect struct{}
+
+func (dialect) Identity(h http.Header) string { return h.Get("Id") }
+func (dialect) Patience(h http.Header) (time.Duration, bool) {
+	d, err := time.ParseDuration(h.Get("Patience"))
+	return d, err == nil
+}
+func (dialect) Object(r *http.Request) string { return r.Header.Get("Object") }
+func (dialect) Address(h http.Header, instance string, left time.Duration) {
+	h.Set("Instance", instance)
+	h.Set("Patience", left.String())
+}
+
+func (dialect) Signs(status int, h http.Header) steerer.Signs {
+	return steerer.Signs{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+}
+func (dialect) Identify(h http.Header, id string) { h.Set("Id", id) }
+
+// everywhere plans one region.
+type everywhere struct{}
+
+func (everywhere) Count(string)             {}
+func (everywhere) Weights(string) []float64 { return []float64{1} }
+func (everywhere) Cross(bool) bool          { return true }
+
+// upstream counts what it ran.
+type upstream struct {
+	ran    atomic.Int64
+	asked  atomic.Int64
+	handle http.HandlerFunc
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u.asked.Add(1)
+	w.Header().Set("Id", r.Header.Get("Id"))
+	u.handle(w, r)
+}
+
+func ok(u *upstream) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		u.ran.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Signed", "1")
+		fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+	}
+}
+
+func status(u *upstream, code int, headers ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for _, h := range headers {
+			w.Header().Set(h, "1")
+		}
+		if !strings.Contains(strings.Join(headers, " "), "Not-Run") {
+			u.ran.Add(1)
+		}
+		w.WriteHeader(code)
+	}
+}
+
+func lose(u *upstream) http.HandlerFunc {
+	return func(http.ResponseWriter, *http.Request) {
+		u.ran.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func short(u *upstream) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		u.ran.Add(1)
+		w.Header().Set("Signed", "1")
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "part")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// rig is a host with two upstreams. All requests have the same object, so the
+// first one is asked first.
+type rig struct {
+	t      *testing.T
+	table  *matcher.Table
+	first  *upstream
+	second *upstream
+	steer  *steerer.Steerer
+	dial   func() net.Conn
+}
+
+const object = "7"
+
+func newRig(t *testing.T, behave func(first, second *upstream)) *rig {
+	t.Helper()
+	g := &rig{t: t}
+	reg := registrar.New(map[string]string{"z": "r"})
+	var ups []*upstream
+	for i := range 2 {
+		u := new(upstream)
+		u.handle = ok(u)
+		server := httptest.NewUnstartedServer(u)
+		server.Config.ErrorLog = nil
+		server.Start()
+		t.Cleanup(server.Close)
+		reg.Put(registrar.Registration{
+			ID: fmt.Sprint(i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "z", Slots: 4, Version: 1,
+		}, time.Now(), true)
+		ups = append(ups, u)
+	}
+	routes := []matcher.Route{
+		{Name: "look", Host: "h", Prefix: "/look/", Class: matcher.Lookup, Timeout: time.Minute, Target: 30 * time.Second, Attempts: 2, Sticky: true, Backends: []matcher.Backend{{Service: "s", Weight: 1}}},
+		{Name: "pay", Host: "h", Prefix: "/pay/", Class: matcher.Once, Timeout: time.Minute, Target: 30 * time.Second, Attempts: 2, Sticky: true, Backends: []matcher.Backend{{Service: "s", Weight: 1}}},
+	}
+	var err error
+	g.table, err = matcher.New(1, routes, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	assert.NilError(t, err)
+	s := sender.New(sender.Options{})
+	t.Cleanup(s.Close)
+	g.steer = steerer.New(steerer.Options{
+		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: everywhere{},
+		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
+		Upstreams: reg, Ranker: ranker.New(func(string) time.Duration { return 0 }),
+		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s,
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	a := acceptor.New(acceptor.Options{Handler: g.steer, Repeatable: g.steer.Repeatable})
+	go func() { _ = a.Serve(l) }()
+	g.dial = func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	// One request shows which upstream the object goes to.
+	g.first, g.second = ups[0], ups[1]
+	_, _, err = g.ask("GET", "/look/probe")
+	assert.NilError(t, err)
+	if ups[1].asked.Load() == 1 {
+		g.first, g.second = ups[1], ups[0]
+	}
+	g.first.asked.Store(0)
+	g.first.ran.Store(0)
+	behave(g.first, g.second)
+	return g
+}
+
+func (g *rig) ask(method, path string, headers ...string) (*http.Response, string, error) {
+	c := g.dial()
+	text := method + " " + path + " HTTP/1.1\r\nHost: h\r\nId: 1\r\nObject: " + object + "\r\n" + strings.Join(headers, "")
+	if method == "POST" {
+		text += "Content-Length: 3\r\n\r\nabc"
+	} else {
+		text += "\r\n"
+	}
+	_, err := io.WriteString(c, text)
+	assert.NilError(g.t, err)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
+// Guards against each way in which a request could run twice, a refusal could be
+// untrue, or an answer could be less than whole.
+func TestOutcomes(t *testing.T) {
+	type want struct {
+		status        int
+		first, second int64 // times that the request ran there
+		retryAfter    bool
+	}
+	set := func(f, s func(u *upstream) http.HandlerFunc) func(first, second *upstream) {
+		return func(first, second *upstream) { first.handle, second.handle = f(first), s(second) }
+	}
+	code := func(code int, headers ...string) func(u *upstream) http.HandlerFunc {
+		return func(u *upstream) http.HandlerFunc { return status(u, code, headers...) }
+	}
+	for name, c := range map[string]struct {
+		method, path string
+		behave       func(first, second *upstream)
+		want         want
+	}{
+		"look-up answered":               {"GET", "/look/1", set(ok, ok), want{200, 1, 0, false}},
+		"look-up lost":                   {"GET", "/look/1", set(lose, ok), want{200, 1, 1, false}},
+		"look-up short":                  {"GET", "/look/1", set(short, ok), want{200, 1, 1, false}},
+		"look-up failed":                 {"GET", "/look/1", set(code(500, "Signed"), ok), want{200, 1, 1, false}},
+		"look-up failed twice":           {"GET", "/look/1", set(code(500, "Signed"), code(500, "Signed")), want{500, 1, 1, false}},
+		"look-up unsigned":               {"GET", "/look/1", set(code(200), ok), want{200, 1, 1, false}},
+		"look-up refused twice":          {"GET", "/look/1", set(code(503, "Not-Run"), code(503, "Not-Run")), want{503, 0, 0, true}},
+		"once answered":                  {"POST", "/pay/1", set(ok, ok), want{200, 1, 0, false}},
+		"once lost":                      {"POST", "/pay/1", set(lose, ok), want{502, 1, 0, false}},
+		"once short":                     {"POST", "/pay/1", set(short, ok), want{502, 1, 0, false}},
+		"once failed":                    {"POST", "/pay/1", set(code(500, "Signed"), ok), want{500, 1, 0, false}},
+		"once unsigned":                  {"POST", "/pay/1", set(code(200), ok), want{502, 1, 0, false}},
+		"once refused":                   {"POST", "/pay/1", set(code(503, "Not-Run"), ok), want{200, 0, 1, false}},
+		"once refused twice":             {"POST", "/pay/1", set(code(503, "Not-Run"), code(429, "Not-Run")), want{503, 0, 0, true}},
+		"once refused, then lost":        {"POST", "/pay/1", set(code(503, "Not-Run"), lose), want{502, 0, 1, false}},
+		"once sent elsewhere":            {"POST", "/pay/1", set(code(421, "Not-Run"), ok), want{200, 0, 1, false}},
+		"503 that does not say not run":  {"POST", "/pay/1", set(code(503), ok), want{502, 1, 0, false}},
+		"429 that does not say not run":  {"POST", "/pay/1", set(code(429, "Signed"), ok), want{502, 1, 0, false}},
+		"rejected by the upstream":       {"POST", "/pay/1", set(code(400, "Signed"), ok), want{400, 1, 0, false}},
+		"get on a route that runs once":  {"GET", "/pay/1", set(lose, ok), want{502, 1, 0, false}},
+		"no route":                       {"GET", "/none/1", set(ok, ok), want{404, 0, 0, false}},
+		"route of another host's prefix": {"GET", "/look", set(ok, ok), want{404, 0, 0, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, c.behave)
+			r, _, err := g.ask(c.method, c.path)
+			assert.NilError(t, err)
+			got := want{r.StatusCode, g.first.ran.Load(), g.second.ran.Load(), r.Header.Get("Retry-After") != ""}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
+// Guards against a host that answers "not found" before it knows any route.
+func TestNoConfiguration(t *testing.T) {
+	g := newRig(t, func(_, _ *upstream) {})
+	g.table = nil
+	r, _, err := g.ask("GET", "/look/1")
+	assert.NilError(t, err)
+	assert.Equal(t, r.StatusCode, 503)
+	assert.Equal(t, r.Header.Get("Id"), "1")
+}
+
+// Guards against a request or answer that is changed on the way.
+func TestPassesUnchanged(t *testing.T) {
+	g := newRig(t, func(_, _ *upstream) {})
+	_, body, err := g.ask("POST", "/pay/a%2Fb//c?x=%20&y")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "POST /pay/a%2Fb//c?x=%20&y abc")
+}
+
+// Guards against work that goes on after the caller's time is over, and against
+// a look-up that is given more time than its caller has.
+func TestDeadline(t *testing.T) {
+	stopped := make(chan string, 2)
+	g := newRig(t, func(first, second *upstream) {
+		wait := func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			stopped <- r.Header.Get("Patience")
+		}
+		first.handle, second.handle = wait, wait
+	})
+	r, _, err := g.ask("GET", "/look/1", "Patience: 300ms\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, r.StatusCode, 504)
+	left, err := time.ParseDuration(<-stopped)
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 300*time.Millisecond, "%v", left)
+}
+
+// Guards against an upstream that hangs and keeps a look-up from being answered
+// by another one.
+func TestSilentUpstreamIsHedged(t *testing.T) {
+	g := newRig(t, func(first, _ *upstream) {
+		first.handle = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	})
+	r, _, err := g.ask("GET", "/look/1")
+	assert.NilError(t, err)
+	assert.Equal(t, r.StatusCode, 200)
+	assert.Equal(t, g.second.ran.Load(), int64(1))
+}
+
+// Guards against parts of a split route that drift from their weights.
+func TestSplitIsEven(t *testing.T) {
+	g := newRig(t, func(_, _ *upstream) {})
+	routes := []matcher.Route{{
+		Name: "split", Host: "h", Prefix: "/", Class: matcher.Lookup, Timeout: time.Minute, Target: time.Minute, Attempts: 1,
+		Backends: []matcher.Backend{{Service: "s", Weight: 3}, {Service: "none", Weight: 1}},
+	}}
+	var err error
+	g.table, err = matcher.New(2, routes, []matcher.Service{{Name: "s"}, {Name: "none"}}, matcher.Limits{})
+	assert.NilError(t, err)
+	refused := 0
+	for range 40 {
+		r, _, err := g.ask("GET", "/x")
+		assert.NilError(t, err)
+		if r.StatusCode == 503 {
+			refused++
+		}
+	}
+	assert.Equal(t, refused, 10)
+}
