Let one host of a region read the store, and estimate work by quantiles

Change: the strongest host of a region reads the store; the others exchange with it, and read themselves after 1.1 s without news. Only registrations that say something new are passed on, and demand is summed up by region. Cold work is the 80% quantile of answers for objects that a host did not know.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -76,6 +76,9 @@
 	Operator() string
 	// Registration reads a row of the table of upstreams.
 	Registration(row follower.Row) (registrar.Registration, error)
+	// SameRegistration reports whether two registrations differ only in what
+	// shows that their upstream lives.
+	SameRegistration(old, changed []byte) bool
 	// Configuration reads a row of the operator's table; without an error, ok
 	// says whether the row holds a configuration.
 	Configuration(row follower.Row) (t *matcher.Table, ok bool, err error)
@@ -112,6 +115,10 @@
 	told    atomic.Bool // readiness was logged
 	names   atomic.Pointer[[]string]
 
+	reader  atomic.Bool // this host reads the store for others
+	readers atomic.Pointer[[]string]
+	turn    int // of the exchange; used by one goroutine
+
 	lifetime atomic.Int64 // of a look-up's answer, in nanoseconds
 	grace    atomic.Int64 // in nanoseconds
 
@@ -156,6 +163,10 @@
 		p.Upstreams(): follower.New(p.Upstreams(), p, upstreamPeriod, c),
 		p.Operator():  follower.New(p.Operator(), p, 0, c),
 	}
+	c.followers[p.Upstreams()].Ignore(p.SameRegistration)
+	for _, f := range c.followers {
+		f.ReadIf(c.reads)
+	}
 	return c, nil
 }
 
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -23,7 +23,7 @@
 	s := c.settings
 	return &framer.Member{
 		Name: s.Name, Address: s.Peer, Caller: s.Front, Region: s.Region, Zone: s.Zone,
-		Incarnation: uint64(now.UnixMilli()),
+		Incarnation: uint64(now.UnixMilli()), Power: uint32(s.Share * milli),
 	}
 }
 
@@ -141,6 +141,41 @@
 	return new([]string)
 }
 
+// reads reports whether this host reads the store for others: the strongest of
+// its region, and all hosts of a small fleet's region that has no other.
+func (c *Conductor) reads() bool { return c.reader.Load() }
+
+// elect finds the hosts that read the store, one in each region. Two hosts may
+// both believe that they do; that costs calls and nothing else.
+func (c *Conductor) elect(live []*framer.Member) {
+	best := make(map[string]*framer.Member)
+	for _, m := range append(live, c.gossiper.Self()) {
+		if old := best[m.Region]; old == nil || stronger(m, old) {
+			best[m.Region] = m
+		}
+	}
+	var readers []string
+	for region, m := range best {
+		switch {
+		case m.Name == c.settings.Name:
+		case region == c.settings.Region:
+			readers = slices.Insert(readers, 0, m.Address)
+		default:
+			readers = append(readers, m.Address)
+		}
+	}
+	c.readers.Store(&readers)
+	c.reader.Store(best[c.settings.Region].Name == c.settings.Name)
+}
+
+// stronger orders hosts that could do a duty, the same way on every host.
+func stronger(a, b *framer.Member) bool {
+	if a.Power != b.Power {
+		return a.Power > b.Power
+	}
+	return xxhash.Sum64String(a.Name) > xxhash.Sum64String(b.Name)
+}
+
 // tick brings the demand and the plans forward.
 func (c *Conductor) tick(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -150,9 +185,11 @@
 			return warm
 		})
 		var names []string
-		for _, m := range c.live() {
+		live := c.live()
+		for _, m := range live {
 			names = append(names, m.Name)
 		}
+		c.elect(live)
 		c.names.Store(&names)
 		for _, service := range c.registrar.Services() {
 			c.replan(now, service)
@@ -169,7 +206,7 @@
 	for i, region := range c.regions {
 		slots[i] = float64(group.Slots(region))
 	}
-	c.plan.Weights(now, service, c.surveyor.Busy(service, c.regions), slots)
+	c.plan.Weights(now, service, c.surveyor.Busy(service, c.regions, c.reader.Load()), slots)
 }
 
 // Count implements steerer.Planner.
@@ -194,17 +231,34 @@
 // the other in random order.
 func (c *Conductor) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
-		if live := c.live(); len(live) > 0 {
-			c.sync(ctx, live[rand.IntN(len(live))].Address)
+		if address, ok := c.partner(); ok {
+			c.sync(ctx, address)
 		}
 		wait(ctx, exchangePeriod/2+rand.N(exchangePeriod))
 	}
 }
 
+// partner returns a host to exchange with: every second time a reader, the one of
+// the own region first, and otherwise any.
+func (c *Conductor) partner() (address string, ok bool) {
+	c.turn++
+	if readers := c.readers.Load(); readers != nil && len(*readers) > 0 && c.turn%2 == 0 {
+		if c.reader.Load() || c.turn%8 == 0 {
+			return (*readers)[rand.IntN(len(*readers))], true
+		}
+		return (*readers)[0], true
+	}
+	live := c.live()
+	if len(live) == 0 {
+		return "", false
+	}
+	return live[rand.IntN(len(live))].Address, true
+}
+
 func (c *Conductor) sync(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeWithin)
 	defer cancel()
-	offer := &framer.Sync{Demands: c.surveyor.Demands()}
+	offer := &framer.Sync{Demands: c.surveyor.Demands(c.reader.Load(), time.Now())}
 	for name, f := range c.followers {
 		offer.Tables = append(offer.Tables, &framer.TableVersion{Table: name, Version: f.Version()})
 	}
@@ -246,7 +300,7 @@
 
 func (c *Conductor) synced(offer *framer.Sync) *framer.Synced {
 	c.surveyor.Merge(offer.Demands, time.Now())
-	out := &framer.Synced{Demands: c.surveyor.Demands()}
+	out := &framer.Synced{Demands: c.surveyor.Demands(c.reader.Load(), time.Now())}
 	for _, t := range offer.Tables {
 		f := c.followers[t.Table]
 		if f == nil {
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -12,9 +12,11 @@
 	// return at once.
 	upstreamPeriod = 700 * time.Millisecond
 	tickPeriod     = 250 * time.Millisecond
+	// milli is the unit in which hosts tell each other their power.
+	milli = 1000
 	// exchangePeriod is the mean time between two exchanges with other hosts. In
 	// a fleet of n hosts news takes about log2(n) of them to reach all.
-	exchangePeriod = 400 * time.Millisecond
+	exchangePeriod = 200 * time.Millisecond
 	exchangeWithin = 600 * time.Millisecond
 	announcePeriod = 5 * time.Second
 	announceWithin = 3 * time.Second
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -22,6 +22,11 @@
 	// pauseFirst and pauseLast bound the time between two failed calls.
 	pauseFirst = 150 * time.Millisecond
 	pauseLast  = time.Second
+	// staleAfter is the age of the last news from which a host that leaves reading
+	// to others reads itself. It is a few periods of the exchange between hosts,
+	// and leaves time to read within the bounds of the platform (2 s).
+	staleAfter = 1100 * time.Millisecond
+	idlePause  = 100 * time.Millisecond
 	// tombstones bounds the remembered deletions. A host that lacks older ones
 	// gets the whole table.
 	tombstones = 4096
@@ -64,6 +69,8 @@
 	source  Source
 	period  time.Duration
 	watcher Watcher
+	same    func(old, changed []byte) bool
+	reads   func() bool
 
 	mu      sync.Mutex
 	rows    map[string]Row
@@ -79,6 +86,15 @@
 	return &Follower{table: table, source: s, period: period, watcher: w, rows: make(map[string]Row)}
 }
 
+// Ignore makes the copy pass on only rows that differ in more than what same
+// ignores. It must be called before Run.
+func (f *Follower) Ignore(same func(old, changed []byte) bool) { f.same = same }
+
+// ReadIf makes Run call the store only while reads reports true, or while no
+// other host brought the copy forward for some time. It must be called before
+// Run.
+func (f *Follower) ReadIf(reads func() bool) { f.reads = reads }
+
 // Table returns the name of the table.
 func (f *Follower) Table() string { return f.table }
 
@@ -102,6 +118,10 @@
 	pause := pauseFirst
 	for ctx.Err() == nil {
 		begun := time.Now()
+		if f.idle(begun) {
+			wait(ctx, idlePause)
+			continue
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -119,6 +139,13 @@
 	}
 }
 
+// idle reports whether other hosts bring the copy forward.
+func (f *Follower) idle(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads != nil && f.version > 0 && !f.reads() && now.Sub(f.heard) < staleAfter
+}
+
 func (f *Follower) report(err error) {
 	f.mu.Lock()
 	changed := (err != nil) != f.failing
@@ -180,8 +207,11 @@
 		if ok && old.Version >= r.Version {
 			continue
 		}
-		f.rows[r.Key] = r
 		changed = append(changed, r)
+		if ok && f.same != nil && !old.Deleted && !r.Deleted && f.same(old.Value, r.Value) {
+			continue // nothing that another host lacks
+		}
+		f.rows[r.Key] = r
 	}
 	if whole {
 		changed = append(changed, f.drop(listed, p.Version)...)
--- a/internal/process/surveyor/surveyor.go
+++ b/internal/process/surveyor/surveyor.go
@@ -1,11 +1,11 @@
 // Package surveyor measures what callers ask of each service, on this host and,
-// by what hosts tell each other, in each region.
+// by what hosts tell each other, in each region. One host of a region sums up
+// what the others tell it, so that messages stay short in a large fleet.
 package surveyor
 
 import (
 	"math"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -30,7 +30,8 @@
 	busy    map[string]float64 // slots kept busy by the own callers
 	ticked  time.Time
 	counter uint64
-	others  map[string]entry // by host
+	hosts   map[string]entry // other hosts of the own region that told this one
+	regions map[string]entry // sums by region
 }
 
 type entry struct {
@@ -43,7 +44,7 @@
 	return &Surveyor{
 		host: host, region: region, ticked: now, counter: uint64(now.UnixMilli()),
 		counts: make(map[string]float64), rates: make(map[string]float64),
-		busy: make(map[string]float64), others: make(map[string]entry),
+		busy: make(map[string]float64), hosts: make(map[string]entry), regions: make(map[string]entry),
 	}
 }
 
@@ -75,31 +76,57 @@
 		s.busy[name] = rate * work(name).Seconds()
 	}
 	clear(s.counts)
-	for host, e := range s.others {
-		if now.Sub(e.heard) > lifetime {
-			delete(s.others, host)
+	for _, entries := range []map[string]entry{s.hosts, s.regions} {
+		for key, e := range entries {
+			if now.Sub(e.heard) > lifetime {
+				delete(entries, key)
+			}
 		}
 	}
 }
 
-// Demands returns what is known of all hosts, to be passed on.
-func (s *Surveyor) Demands() []*framer.Demand {
+// Demands returns what another host is told: the host's own demand, or, if this
+// host sums up its region, the sums of all regions that are known.
+func (s *Surveyor) Demands(sums bool, now time.Time) []*framer.Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own := &framer.Demand{Host: s.host, Region: s.region, Counter: s.counter}
-	for name, busy := range s.busy {
-		own.Services = append(own.Services, name)
-		own.Busy = append(own.Busy, float32(busy))
+	if !sums {
+		return []*framer.Demand{demand(s.host, s.region, s.counter, s.busy)}
 	}
-	out := []*framer.Demand{own}
-	for _, e := range s.others {
-		out = append(out, e.demand)
+	out := []*framer.Demand{demand("", s.region, uint64(now.UnixMilli()), s.sum())}
+	for region, e := range s.regions {
+		if region != s.region {
+			out = append(out, e.demand)
+		}
+	}
+	return out
+}
+
+func demand(host, region string, counter uint64, busy map[string]float64) *framer.Demand {
+	d := &framer.Demand{Host: host, Region: region, Counter: counter}
+	for name, b := range busy {
+		d.Services = append(d.Services, name)
+		d.Busy = append(d.Busy, float32(b))
+	}
+	return d
+}
+
+// sum returns the demand of the hosts of the own region that told it. Called
+// with mu held.
+func (s *Surveyor) sum() map[string]float64 {
+	out := make(map[string]float64, len(s.busy))
+	for name, b := range s.busy {
+		out[name] = b
+	}
+	for _, e := range s.hosts {
+		for i, name := range e.demand.Services {
+			out[name] += float64(e.demand.Busy[i])
+		}
 	}
-	slices.SortFunc(out, func(a, b *framer.Demand) int { return strings.Compare(a.Host, b.Host) })
 	return out
 }
 
-// Merge takes over what another host passed on, as far as it is newer.
+// Merge takes over what another host told, as far as it is newer.
 func (s *Surveyor) Merge(demands []*framer.Demand, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,27 +134,34 @@
 		if d.Host == s.host || len(d.Services) != len(d.Busy) {
 			continue
 		}
-		if old, ok := s.others[d.Host]; ok && old.demand.Counter >= d.Counter {
+		entries, key := s.hosts, d.Host
+		if d.Host == "" {
+			entries, key = s.regions, d.Region
+		} else if d.Region != s.region {
 			continue
 		}
-		s.others[d.Host] = entry{demand: d, heard: now}
+		if old, ok := entries[key]; ok && old.demand.Counter >= d.Counter {
+			continue
+		}
+		entries[key] = entry{demand: d, heard: now}
 	}
 }
 
 // Busy returns the slots of a service that the callers of each region keep busy.
-func (s *Surveyor) Busy(service string, regions []string) []float64 {
+// Sums says whether this host sums up its region itself.
+func (s *Surveyor) Busy(service string, regions []string, sums bool) []float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]float64, len(regions))
-	add := func(region string, busy float64) {
-		if i := slices.Index(regions, region); i >= 0 {
-			out[i] += busy
-		}
-	}
-	add(s.region, s.busy[service])
-	for _, e := range s.others {
-		if i := slices.Index(e.demand.Services, service); i >= 0 {
-			add(e.demand.Region, float64(e.demand.Busy[i]))
+	for i, region := range regions {
+		e, ok := s.regions[region]
+		switch {
+		case region == s.region && (sums || !ok):
+			out[i] = s.sum()[service]
+		case ok:
+			if at := slices.Index(e.demand.Services, service); at >= 0 {
+				out[i] = float64(e.demand.Busy[at])
+			}
 		}
 	}
 	return out
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -27,8 +27,13 @@
 	// crossing is what leaving the planned region must save, so that small
 	// differences do not move traffic between regions.
 	crossing = 40 * time.Millisecond
-	// workWeight is the part of one answer in the estimates of work.
-	workWeight = 0.05
+	// workStep is the part of an estimate of work by which one answer moves it.
+	workStep = 0.1
+	// coldQuantile and warmQuantile are the parts of the answers that are quicker
+	// than the estimates. Answers of objects that this host does not know mix both
+	// kinds of work, because other hosts may have taught them.
+	coldQuantile = 0.8
+	warmQuantile = 0.5
 	// defaultWork is the estimate of cold work before an answer has shown it.
 	defaultWork = 300 * time.Millisecond
 	// defaultGain is the part of cold work that an upstream saves that
@@ -124,19 +129,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if warm {
-		w.warm += workWeight * (took.Seconds() - w.warm)
+		w.warm = quantile(w.warm, took.Seconds(), warmQuantile)
 	} else {
-		w.cold += workWeight * (took.Seconds() - w.cold)
+		w.cold = quantile(w.cold, took.Seconds(), coldQuantile)
 	}
 }
 
+// quantile moves the estimate of a quantile by one sample, up or down so that it
+// rests where the part q of the samples is below it.
+func quantile(estimate, sample, q float64) float64 {
+	if sample > estimate {
+		return min(sample, estimate*(1+workStep*q))
+	}
+	return max(sample, estimate*(1-workStep*(1-q)))
+}
+
 // Works returns the estimates of work for a service, without the way there.
 func (r *Ranker) Works(service string) (cold, warm time.Duration) {
 	w := r.work(service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c := max(w.cold, w.warm)
-	return seconds(c), seconds(min(w.warm, c))
+	return seconds(max(w.cold, w.warm/defaultGain)), seconds(w.warm)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
