Spread objects over near regions, and name the strong hosts in look-ups

And each object was learned once in each region.

Change: look-ups name the hosts that are at most twice weaker than the strongest, three at least. Look-ups and confirmations are spread over all regions by their slots where the way there takes at most a fifth of the target, so that an object is learned once; downloads stay near.

--- a/internal/process/apportioner/apportioner.go
+++ b/internal/process/apportioner/apportioner.go
@@ -104,15 +104,28 @@
 	return out
 }
 
-// Weights returns the plan for a service after it was moved towards what demand
-// and slots ask for. The result must not be changed.
-func (a *Apportioner) Weights(now time.Time, service string, demand, slots []float64) []float64 {
-	target := Target(a.own, demand, slots)
+// Local returns the parts that keep requests in their region while it has room.
+func (a *Apportioner) Local(demand, slots []float64) []float64 { return Target(a.own, demand, slots) }
+
+// Spread returns the parts that are the same for the callers of all regions: each
+// region gets the part of its slots. An object then goes to one upstream from
+// everywhere, instead of one in each region, and is learned once.
+func Spread(slots []float64) []float64 {
+	have := sum(slots)
+	if have <= 0 {
+		return make([]float64, len(slots))
+	}
+	return scaled(slots, 1/have)
+}
+
+// Move returns the plan with a name after it was moved towards a target. The
+// result must not be changed.
+func (a *Apportioner) Move(now time.Time, name string, target, slots []float64) []float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p := a.plans[service]
+	p := a.plans[name]
 	if p == nil || len(p.weights) != len(target) || sum(p.weights) == 0 {
-		a.plans[service] = &plan{weights: target, moved: now}
+		a.plans[name] = &plan{weights: target, moved: now}
 		return target
 	}
 	p.weights = toward(p.weights, target, slots, a.step*now.Sub(p.moved).Seconds())
@@ -146,11 +159,11 @@
 	a.window.advance(int64(now.Sub(a.start) / (span / buckets)))
 }
 
-// Current returns the plan for a service as it was moved last, or nil.
-func (a *Apportioner) Current(service string) []float64 {
+// Current returns the plan with a name as it was moved last, or nil.
+func (a *Apportioner) Current(name string) []float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if p := a.plans[service]; p != nil {
+	if p := a.plans[name]; p != nil {
 		return p.weights
 	}
 	return nil
--- a/internal/process/apportioner/apportioner_test.go
+++ b/internal/process/apportioner/apportioner_test.go
@@ -45,10 +45,10 @@
 	a := apportioner.New(0, 0.0375)
 	now := time.Now()
 	slots := []float64{10, 50}
-	first := a.Weights(now, "s", []float64{5, 5}, slots)
+	first := a.Move(now, "s", a.Local([]float64{5, 5}, slots), slots)
 	assert.Equal(t, first[0], 1.0)
 	for i := 1; i <= 20; i++ {
-		a.Weights(now.Add(time.Duration(i)*100*time.Millisecond), "s", []float64{50, 5}, slots)
+		a.Move(now.Add(time.Duration(i)*100*time.Millisecond), "s", a.Local([]float64{50, 5}, slots), slots)
 	}
 	moved := first[0] - a.Current("s")[0]
 	assert.Assert(t, moved > 0.07 && moved <= 0.0751, "%v", moved)
@@ -59,8 +59,9 @@
 func TestRegionWithoutUpstreamsIsLeftAtOnce(t *testing.T) {
 	a := apportioner.New(0, 0.0375)
 	now := time.Now()
-	a.Weights(now, "s", []float64{5, 5, 5}, []float64{20, 20, 20})
-	w := a.Weights(now.Add(time.Millisecond), "s", []float64{5, 5, 5}, []float64{0, 20, 20})
+	all, less := []float64{20, 20, 20}, []float64{0, 20, 20}
+	a.Move(now, "s", apportioner.Spread(all), all)
+	w := a.Move(now.Add(time.Millisecond), "s", apportioner.Spread(less), less)
 	assert.Equal(t, w[0], 0.0)
 	assert.Assert(t, math.Abs(w[1]+w[2]-1) < 1e-9)
 }
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -149,7 +149,7 @@
 	c.registrar.OnLeave(c.leaves)
 	c.surveyor = surveyor.New(s.Name, s.Region, now)
 	c.plan = apportioner.New(slices.Index(c.regions, s.Region), shiftPart*s.Shift/s.ShiftSpan.Seconds())
-	c.ranker = ranker.New(c.distance)
+	c.ranker = ranker.New(s.Region)
 	c.sender = sender.New(sender.Options{
 		Dial: dialer(upstreamSilence).DialContext, Open: openWithin, Idle: idleWithin, Own: c.own,
 	})
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -4,17 +4,18 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
 	"dandeliontrack.example/dandeliontrack/internal/process/detector"
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -89,25 +90,47 @@
 // find returns the addresses that a caller may use: the hosts of its zone and
 // region that take work, or all of them.
 func (c *Conductor) find(zone, region string) []string {
-	members := c.live()
+	var near, all []*framer.Member
+	for _, m := range c.live() {
+		if m.Ready {
+			all = append(all, m)
+		}
+	}
 	if c.ready() {
-		members = append(members, c.gossiper.Self())
+		all = append(all, c.gossiper.Self())
 	}
-	var near, all []string
-	for _, m := range members {
-		if !m.Ready && m.Name != c.settings.Name {
-			continue
-		}
-		all = append(all, m.Caller)
+	for _, m := range all {
 		if m.Region == region || (region == "" && m.Zone == zone) {
-			near = append(near, m.Caller)
+			near = append(near, m)
 		}
 	}
 	if len(near) == 0 {
 		near = all
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return near
+	out := make([]string, 0, len(near))
+	for _, m := range strongest(near) {
+		out = append(out, m.Caller)
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// strongest leaves out the hosts that are much weaker than the strongest ones, as
+// long as enough remain. Callers choose at random among the hosts named, so each
+// one gets the same part of them. Fewer hosts also need fewer connections to
+// upstreams.
+func strongest(members []*framer.Member) []*framer.Member {
+	slices.SortFunc(members, func(a, b *framer.Member) int {
+		if stronger(a, b) {
+			return -1
+		}
+		return 1
+	})
+	n := len(members)
+	for n > namedLeast && members[n-1].Power*weakness < members[0].Power {
+		n--
+	}
+	return members[:n]
 }
 
 // coldRate returns how many requests per second this host may send to a cold
@@ -206,7 +229,27 @@
 	for i, region := range c.regions {
 		slots[i] = float64(group.Slots(region))
 	}
-	c.plan.Weights(now, service, c.surveyor.Busy(service, c.regions, c.reader.Load()), slots)
+	local := c.plan.Local(c.surveyor.Busy(service, c.regions, c.reader.Load()), slots)
+	c.plan.Move(now, localPlan+service, local, slots)
+	target := local
+	if c.spreads(service) {
+		target = apportioner.Spread(slots)
+	}
+	c.plan.Move(now, spreadPlan+service, target, slots)
+}
+
+// spreads reports whether all regions are so near that it pays to have each
+// object learned once instead of once in each region.
+func (c *Conductor) spreads(service string) bool {
+	t := c.table.Load()
+	if t == nil {
+		return false
+	}
+	farthest := time.Duration(0)
+	for _, region := range c.regions {
+		farthest = max(farthest, c.ranker.Distance(region))
+	}
+	return float64(farthest) <= spreadPart*float64(t.Target(service))
 }
 
 // Count implements steerer.Planner.
@@ -218,13 +261,18 @@
 // Cross implements steerer.Planner.
 func (c *Conductor) Cross(failing bool) bool { return c.plan.Cross(time.Now(), failing) }
 
-// Weights implements steerer.Planner.
-func (c *Conductor) Weights(service string) []float64 {
-	if w := c.plan.Current(service); w != nil {
+// Weights implements steerer.Planner. Downloads stay near, since their bytes cross
+// the links between regions.
+func (c *Conductor) Weights(service string, class matcher.Class) []float64 {
+	name := spreadPlan + service
+	if class == matcher.Download {
+		name = localPlan + service
+	}
+	if w := c.plan.Current(name); w != nil {
 		return w
 	}
 	c.replan(time.Now(), service)
-	return c.plan.Current(service)
+	return c.plan.Current(name)
 }
 
 // exchange brings what the host knows together with another host's, one after
@@ -338,10 +386,3 @@
 	c.sender.Remove(u.Address())
 }
 
-// distance returns the time to a region and back, as far as it is known.
-func (c *Conductor) distance(region string) time.Duration {
-	if strings.EqualFold(region, c.settings.Region) {
-		return 0
-	}
-	return farDistance
-}
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -18,12 +18,19 @@
 	// a fleet of n hosts news takes about log2(n) of them to reach all.
 	exchangePeriod = 200 * time.Millisecond
 	exchangeWithin = 600 * time.Millisecond
-	announcePeriod = 5 * time.Second
+	announcePeriod = 15 * time.Second
 	announceWithin = 3 * time.Second
 	leaveWithin    = 400 * time.Millisecond
 	// tellMost bounds the hosts that a leaving host tells itself; they pass it on.
 	tellMost = 16
 
+	// namedLeast is the least number of hosts that a look-up names, if there are so
+	// many: losing two of them at once leaves one.
+	namedLeast = 3
+	// weakness is how many times weaker than the strongest a host must be to be
+	// left out of look-ups.
+	weakness = 2
+
 	// openWithin bounds the time for a connection to an upstream. It is several
 	// times the longest way there and back (110 ms).
 	openWithin = 450 * time.Millisecond
@@ -53,8 +60,15 @@
 	// stopMargin is the time that is left to end the process.
 	stopMargin = 300 * time.Millisecond
 
-	// farDistance is the assumed time to another region and back.
-	farDistance = 60 * time.Millisecond
+	// spreadPart is the part of a service's target that the way to the farthest
+	// region and back may take if objects are spread over all regions.
+	spreadPart = 0.2
+)
+
+// Prefixes of the names of plans.
+const (
+	localPlan  = "local "
+	spreadPlan = "spread "
 )
 
 // userTimeout is TCP_USER_TIMEOUT of Linux, which package syscall does not name.
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -34,6 +34,12 @@
 	// kinds of work, because other hosts may have taught them.
 	coldQuantile = 0.8
 	warmQuantile = 0.5
+	// wayQuantile is low, because a connection opens late for many reasons other
+	// than distance.
+	wayQuantile = 0.2
+	// defaultWay is the assumed time to another region and back, before a
+	// connection was opened there.
+	defaultWay = 60 * time.Millisecond
 	// defaultWork is the estimate of cold work before an answer has shown it.
 	defaultWork = 300 * time.Millisecond
 	// defaultGain is the part of cold work that an upstream saves that
@@ -59,9 +65,6 @@
 	patience = 0.5
 )
 
-// Distance gives the time to another region and back.
-type Distance func(region string) time.Duration
-
 // Query describes one attempt.
 type Query struct {
 	Group    *registrar.Group
@@ -92,10 +95,11 @@
 
 // Ranker chooses. It is safe for concurrent use.
 type Ranker struct {
-	distance Distance
+	region string
 
 	mu    sync.RWMutex
 	works map[string]*work
+	ways  map[string]float64 // to a region and back, in seconds
 }
 
 type work struct {
@@ -103,8 +107,34 @@
 	cold, warm float64 // seconds
 }
 
-// New returns a Ranker for a host from which regions have the given distances.
-func New(d Distance) *Ranker { return &Ranker{distance: d, works: make(map[string]*work)} }
+// New returns a Ranker for a host in a region.
+func New(region string) *Ranker {
+	return &Ranker{region: region, works: make(map[string]*work), ways: make(map[string]float64)}
+}
+
+// Approach records how long it took to open a connection to a region.
+func (r *Ranker) Approach(region string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, ok := r.ways[region]
+	if !ok {
+		old = took.Seconds()
+	}
+	r.ways[region] = quantile(old, took.Seconds(), wayQuantile)
+}
+
+// Distance returns the time to a region and back. The own region counts as none.
+func (r *Ranker) Distance(region string) time.Duration {
+	if region == r.region {
+		return 0
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if way, ok := r.ways[region]; ok {
+		return seconds(way)
+	}
+	return defaultWay
+}
 
 func (r *Ranker) work(service string) *work {
 	r.mu.RLock()
@@ -125,7 +155,7 @@
 // Observe records how long an answer took that did not wait at its upstream.
 func (r *Ranker) Observe(service string, warm bool, region string, took time.Duration) {
 	w := r.work(service)
-	took = max(0, took-r.distance(region))
+	took = max(0, took-r.Distance(region))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if warm {
@@ -250,8 +280,8 @@
 	if rank == 0 && object != 0 {
 		work = warm
 	}
-	c.Work = time.Duration(float64(c.Work)*slow) + r.distance(u.Region())
-	c.cost = time.Duration(float64(work)*slow) + r.distance(u.Region()) + c.Wait
+	c.Work = time.Duration(float64(c.Work)*slow) + r.Distance(u.Region())
+	c.cost = time.Duration(float64(work)*slow) + r.Distance(u.Region()) + c.Wait
 	c.cost += time.Duration(bad * failureCost * float64(cold))
 	c.doubtful = bad > doubtBad || slow > doubtSlow || u.Cold(now)
 	if u.Full(now) {
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -141,7 +141,7 @@
 			w.index[id] = u
 			r.Put(registrar.Registration{ID: id, Service: "prices", Address: id, Zone: "z", Slots: l.slots, Version: 1}, now, true)
 		}
-		w.hosts[i] = &host{r, ranker.New(func(string) time.Duration { return 0 }), rand.New(rand.NewPCG(uint64(i), 3)), l}
+		w.hosts[i] = &host{r, ranker.New("r"), rand.New(rand.NewPCG(uint64(i), 3)), l}
 	}
 	for i := range w.servers {
 		w.servers[i] = new(server)
@@ -272,7 +272,7 @@
 		return r
 	}
 	choose := func(r *registrar.Registrar, object uint64) string {
-		rk := ranker.New(func(string) time.Duration { return 0 })
+		rk := ranker.New("r")
 		q := ranker.Query{Group: r.Group("s"), Regions: []string{"r"}, Weights: []float64{1}, Object: object, Left: time.Second, Target: time.Second}
 		return rk.Choose(now, "s", &q).Upstream.ID()
 	}
@@ -297,7 +297,7 @@
 	r := registrar.New(map[string]string{"z": "r"})
 	r.Put(registrar.Registration{ID: "u", Service: "s", Address: "a", Zone: "z", Slots: 2, Version: 1}, now, true)
 	u := r.Group("s").Upstreams()[0]
-	rk := ranker.New(func(string) time.Duration { return 0 })
+	rk := ranker.New("r")
 	q := ranker.Query{Group: r.Group("s"), Regions: []string{"r"}, Weights: []float64{1}, Object: 7, Left: 2 * time.Second, Target: 400 * time.Millisecond}
 	u.Warmed(7, now)
 	assert.Equal(t, rk.Choose(now, "s", &q).Upstream, u)
@@ -314,7 +314,7 @@
 	now := time.Unix(1000, 0)
 	r := registrar.New(map[string]string{"z": "r"})
 	r.Put(registrar.Registration{ID: "u", Service: "s", Address: "a", Zone: "z", Slots: 8, Cold: 3 * time.Second, Version: 1}, now, false)
-	rk := ranker.New(func(string) time.Duration { return 0 })
+	rk := ranker.New("r")
 	sent := 0
 	for i := range 100 {
 		q := ranker.Query{
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -85,6 +85,9 @@
 		return err
 	}
 	now := time.Now()
+	if !a.conn.Used() {
+		x.s.o.Ranker.Approach(a.up.Region(), now.Sub(a.start))
+	}
 	if x.ctx.Err() != nil || !now.Before(x.deadline) {
 		// The host may have been paused, or the caller may have left, while the
 		// connection was opened.
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -220,8 +220,9 @@
 // choose asks the ranker for the upstreams in the regions that the route allows.
 func (x *exchange) choose(now time.Time, left time.Duration) ranker.Choice {
 	o := &x.s.o
+	weights := o.Plan.Weights(x.service, x.route.Class)
 	q := ranker.Query{
-		Group: o.Upstreams.Group(x.service), Regions: o.Regions, Weights: o.Plan.Weights(x.service),
+		Group: o.Upstreams.Group(x.service), Regions: o.Regions, Weights: weights,
 		Object: x.object, Draw: x.draw, Left: left, Target: x.route.Target, Tried: x.tried, ColdRate: x.coldRate, Cross: o.Plan.Cross,
 	}
 	if q.Group == nil {
@@ -232,7 +233,7 @@
 		for i, region := range o.Regions {
 			if slices.Contains(x.route.Regions, region) {
 				q.Regions = append(q.Regions, region)
-				q.Weights = append(q.Weights, o.Plan.Weights(x.service)[i]+leastWeight)
+				q.Weights = append(q.Weights, weights[i]+leastWeight)
 			}
 		}
 	}
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -55,7 +55,7 @@
 // regions serve.
 type Planner interface {
 	Count(service string)
-	Weights(service string) []float64
+	Weights(service string, class matcher.Class) []float64
 	// Cross reports whether a request may leave its planned region now.
 	Cross(failing bool) bool
 }
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -46,7 +46,7 @@
 type everywhere struct{}
 
 func (everywhere) Count(string)             {}
-func (everywhere) Weights(string) []float64 { return []float64{1} }
+func (everywhere) Weights(string, matcher.Class) []float64 { return []float64{1} }
 func (everywhere) Cross(bool) bool          { return true }
 
 // upstream counts what it ran.
@@ -142,7 +142,7 @@
 	g.steer = steerer.New(steerer.Options{
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: everywhere{},
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
-		Upstreams: reg, Ranker: ranker.New(func(string) time.Duration { return 0 }),
+		Upstreams: reg, Ranker: ranker.New("r"),
 		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -149,6 +149,21 @@
 // Service returns a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Target returns the shortest target of the service's routes other than
+// downloads, 0 if there is none.
+func (t *Table) Target(service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, list := range t.hosts {
+		for _, r := range list {
+			uses := slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service })
+			if uses && r.Class != Download && r.Target > 0 && (shortest == 0 || r.Target < shortest) {
+				shortest = r.Target
+			}
+		}
+	}
+	return shortest
+}
+
 // Match returns the route of the host whose prefix is the longest that begins
 // the path, or nil.
 func (t *Table) Match(host, path string) *Route {
