--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -385,4 +385,3 @@
 	c.log.Event(logger.UpstreamLeaving).Str("upstream", u.ID()).Str("service", u.Service()).Str("sign", sign).Send()
 	c.sender.Remove(u.Address())
 }
-
--- /dev/null
+++ b/internal/process/registrar/registrar_test.go
@@ -0,0 +1,154 @@
+package registrar_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+)
+
+var zones = map[string]string{"a1": "a", "b1": "b"}
+
+func entry(id string, version uint64) registrar.Registration {
+	return registrar.Registration{ID: id, Service: "s", Address: id + ":80", Zone: "a1", Slots: 4, Version: version, Born: 1}
+}
+
+func ids(r *registrar.Registrar) string {
+	out := ""
+	for _, u := range r.Group("s").Upstreams() {
+		out += u.ID()
+	}
+	return out
+}
+
+// Guards against new work for upstreams that are draining, gone or evacuated, and
+// against rows that arrive late and bring them back.
+func TestLeaving(t *testing.T) {
+	now := time.Now()
+	r := registrar.New(zones)
+	var signs []string
+	r.OnLeave(func(u *registrar.Upstream, sign string) { signs = append(signs, u.ID()+": "+sign) })
+	for _, id := range []string{"x", "y", "z"} {
+		r.Put(entry(id, 1), now, true)
+	}
+	assert.Equal(t, ids(r), "xyz")
+	draining := entry("x", 3)
+	draining.Draining = true
+	r.Put(draining, now, false)
+	assert.Equal(t, ids(r), "yz")
+	r.Put(entry("x", 2), now, false)
+	assert.Equal(t, ids(r), "yz")
+	r.Remove("y", 4)
+	assert.Equal(t, ids(r), "z")
+	r.Evacuate("a1", true, now)
+	assert.Equal(t, ids(r), "")
+	r.Evacuate("a1", false, now)
+	assert.Equal(t, ids(r), "z")
+	assert.Equal(t, fmt.Sprint(signs), "[x: registered as draining y: registration removed]")
+}
+
+// Guards against a process that came back under its name and is fed as a warm
+// one: it is cold until it registered twice, or says how long it stays cold.
+func TestColdAfterFailure(t *testing.T) {
+	now := time.Now()
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+	for name, c := range map[string]struct {
+		act  func(r *registrar.Registrar, u *registrar.Upstream)
+		when time.Duration
+		cold bool
+	}{
+		"sound":             {func(*registrar.Registrar, *registrar.Upstream) {}, 0, false},
+		"unreachable":       {func(_ *registrar.Registrar, u *registrar.Upstream) { u.Unreachable(now) }, time.Second, true},
+		"one loss":          {func(_ *registrar.Registrar, u *registrar.Upstream) { u.Lost(now) }, 0, false},
+		"two losses":        {func(_ *registrar.Registrar, u *registrar.Upstream) { u.Lost(now); u.Lost(at(time.Second)) }, time.Second, true},
+		"two, long apart":   {func(_ *registrar.Registrar, u *registrar.Upstream) { u.Lost(now); u.Lost(at(3 * time.Second)) }, 3 * time.Second, false},
+		"answer in between": {func(_ *registrar.Registrar, u *registrar.Upstream) { u.Lost(now); u.Answered(now, 1); u.Lost(now) }, 0, false},
+		"one old row after": {func(r *registrar.Registrar, u *registrar.Upstream) {
+			u.Unreachable(now)
+			r.Put(entry("x", 2), now, false)
+		}, 0, true},
+		"two rows after": {func(r *registrar.Registrar, u *registrar.Upstream) {
+			u.Unreachable(now)
+			r.Put(entry("x", 2), now, false)
+			r.Put(entry("x", 3), now, false)
+		}, 0, false},
+		"forgotten in time": {func(_ *registrar.Registrar, u *registrar.Upstream) { u.Unreachable(now) }, 4 * time.Second, false},
+		"started anew, cold": {func(r *registrar.Registrar, _ *registrar.Upstream) {
+			e := entry("x", 2)
+			e.Born, e.Cold = 2, 3*time.Second
+			r.Put(e, now, false)
+		}, 2 * time.Second, true},
+		"cold time over": {func(r *registrar.Registrar, _ *registrar.Upstream) {
+			e := entry("x", 2)
+			e.Born, e.Cold = 2, 3*time.Second
+			r.Put(e, now, false)
+		}, 4 * time.Second, false},
+		"zone taken back": {func(r *registrar.Registrar, _ *registrar.Upstream) {
+			r.Evacuate("a1", true, now)
+			r.Evacuate("a1", false, now)
+		}, time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(zones)
+			r.Put(entry("x", 1), now, true)
+			u := r.Group("s").Upstreams()[0]
+			c.act(r, u)
+			assert.Equal(t, r.Group("s").Upstreams()[0].Cold(at(c.when)), c.cold)
+		})
+	}
+}
+
+// Guards against a load that lags: the host's own requests count at once, those of
+// others fade.
+func TestLoad(t *testing.T) {
+	now := time.Now()
+	r := registrar.New(zones)
+	r.Put(entry("x", 1), now, true)
+	u := r.Group("s").Upstreams()[0]
+	u.Begin()
+	u.Report(registrar.Load{Running: 4, Waiting: 2, Slots: 4}, now)
+	assert.Equal(t, u.Load(now), 6.0)
+	u.Begin()
+	assert.Equal(t, u.Load(now), 7.0)
+	assert.Assert(t, u.Load(now.Add(time.Second)) < 4)
+	u.Report(registrar.Load{}, now)
+	assert.Equal(t, u.Load(now), 2.0)
+}
+
+// Guards against upstreams that fail or are slow and stay favoured, and against
+// ones that are never tried again.
+func TestQuality(t *testing.T) {
+	now := time.Now()
+	r := registrar.New(zones)
+	r.Put(entry("x", 1), now, true)
+	u := r.Group("s").Upstreams()[0]
+	for range 20 {
+		u.Failed(now)
+		u.Late(now, 8)
+	}
+	slow, bad := u.Quality(now)
+	assert.Assert(t, bad > 0.9 && slow > 6, "%v %v", slow, bad)
+	slow, bad = u.Quality(now.Add(10 * time.Second))
+	assert.Assert(t, bad < 0.15 && slow < 2, "%v %v", slow, bad)
+}
+
+// Guards against memory that grows with the number of objects.
+func TestKnownObjectsAreBounded(t *testing.T) {
+	now := time.Now()
+	r := registrar.New(zones)
+	r.Put(entry("x", 1), now, true)
+	u := r.Group("s").Upstreams()[0]
+	known := 0
+	for object := range uint64(10000) {
+		u.Warmed(object+1, now)
+	}
+	for object := range uint64(10000) {
+		if u.Warm(object+1, now) {
+			known++
+		}
+	}
+	assert.Assert(t, known > 0 && known <= 512, "%d", known)
+}
--- /dev/null
+++ b/internal/process/surveyor/surveyor_test.go
@@ -0,0 +1,56 @@
+package surveyor_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
+)
+
+func work(string) time.Duration { return 100 * time.Millisecond }
+
+// ask counts requests for 20 s.
+func ask(s *surveyor.Surveyor, now time.Time, perTick int) {
+	for i := 1; i <= 80; i++ {
+		for range perTick {
+			s.Count("s")
+		}
+		s.Tick(now.Add(time.Duration(i)*250*time.Millisecond), work)
+	}
+}
+
+// Guards against a plan made from the demand of one host: what the hosts of a
+// region tell is summed up once and passed on to other regions.
+func TestDemandOfRegions(t *testing.T) {
+	now := time.Now()
+	end := now.Add(20 * time.Second)
+	var hosts []*surveyor.Surveyor
+	for i, region := range []string{"a", "a", "a", "b"} {
+		s := surveyor.New(fmt.Sprint(i), region, now)
+		ask(s, now, 25) // 100 a second, 10 slots
+		hosts = append(hosts, s)
+	}
+	sum, far := hosts[0], hosts[3]
+	for _, h := range hosts[1:3] {
+		sum.Merge(h.Demands(false, end), end)
+	}
+	for range 2 { // telling it again adds nothing
+		far.Merge(sum.Demands(true, end), end)
+	}
+	hosts[1].Merge(sum.Demands(true, end), end)
+	regions := []string{"a", "b"}
+	for name, got := range map[string][]float64{
+		"sums up": sum.Busy("s", regions, true), "other region": far.Busy("s", regions, true), "told": hosts[1].Busy("s", regions, false),
+	} {
+		assert.Assert(t, math.Abs(got[0]-30) < 1, "%s: %v", name, got)
+	}
+	assert.Assert(t, math.Abs(far.Busy("s", regions, true)[1]-10) < 1)
+
+	// A region that says nothing any more has no demand.
+	far.Tick(end.Add(5*time.Second), work)
+	assert.Equal(t, far.Busy("s", regions, true)[0], 0.0)
+}
