--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -45,9 +45,9 @@
 // everywhere plans one region.
 type everywhere struct{}
 
-func (everywhere) Count(string)             {}
+func (everywhere) Count(string)                            {}
 func (everywhere) Weights(string, matcher.Class) []float64 { return []float64{1} }
-func (everywhere) Cross(bool) bool          { return true }
+func (everywhere) Cross(bool) bool                         { return true }
 
 // upstream counts what it ran.
 type upstream struct {
