Count recorded hosts before feeding cold upstreams after a start

After power was lost everywhere each host knew no other and took itself for one of the two that feed a cold upstream. Ruled out: unknown coldness; the registrations said it.

Change: the view that divides a cold upstream among hosts is a package of its own. In its first 6 s a host counts the hosts recorded in the store, and feeds nothing before it has read them. The fixed number of second attempts is divided the same way.

A test sums up all hosts' rates in nine views.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -19,6 +19,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
+	"dandeliontrack.example/dandeliontrack/internal/process/feeder"
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
 	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
@@ -50,16 +51,10 @@
 	Budget    budgeter.Limit
 	Shift     float64 // largest part of the requests that changes region within ShiftSpan
 	ShiftSpan time.Duration
-	Cold      ColdLimit
+	Cold      feeder.Limit
 	Share     float64 // of a processor
 }
 
-// ColdLimit bounds the requests per second that all hosts together send to a
-// cold upstream: Factor times what it bears, plus Slack.
-type ColdLimit struct {
-	Factor, Slack float64
-}
-
 // Host is what a host says of itself in the store.
 type Host struct {
 	Name string
@@ -105,6 +100,7 @@
 	registrar *registrar.Registrar
 	surveyor  *surveyor.Surveyor
 	plan      *apportioner.Apportioner
+	feeder    *feeder.Feeder
 	ranker    *ranker.Ranker
 	sender    *sender.Sender
 	acceptor  *acceptor.Acceptor
@@ -113,7 +109,6 @@
 	table   atomic.Pointer[matcher.Table]
 	stopped atomic.Bool
 	told    atomic.Bool // readiness was logged
-	names   atomic.Pointer[[]string]
 
 	reader  atomic.Bool // this host reads the store for others
 	readers atomic.Pointer[[]string]
@@ -145,6 +140,7 @@
 	c.linker.UseDial(dialer(peerSilence).DialContext)
 	c.gossiper = gossiper.New(c.self(now), c.linker, c.seedAddresses)
 	c.gossiper.OnChange(c.changed)
+	c.feeder = feeder.New(s.Name, s.Cold, now)
 	c.registrar = registrar.New(s.Zones)
 	c.registrar.OnLeave(c.leaves)
 	c.surveyor = surveyor.New(s.Name, s.Region, now)
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -55,11 +55,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seeds = slices.Clone(c.settings.Seeds)
+	var names []string
 	for _, h := range hosts {
+		names = append(names, h.Name)
 		if h.Peer != c.settings.Peer && !slices.Contains(c.seeds, h.Peer) {
 			c.seeds = append(c.seeds, h.Peer)
 		}
 	}
+	c.feeder.Recorded(names)
 }
 
 // changed follows the membership.
@@ -84,7 +87,7 @@
 			n++
 		}
 	}
-	return n
+	return c.feeder.Hosts(n, time.Now())
 }
 
 // find returns the addresses that a caller may use: the hosts of its zone and
@@ -134,34 +137,9 @@
 }
 
 // coldRate returns how many requests per second this host may send to a cold
-// upstream. Few hosts feed one, the same ones in every host's view. Two views
-// that share no host stay within the limit together.
+// upstream.
 func (c *Conductor) coldRate(u *registrar.Upstream, perSecond float64) float64 {
-	most := perSecond*c.settings.Cold.Factor + c.settings.Cold.Slack
-	feeders := max(1, int(coldBurst*most))
-	rank := 0
-	own := feeds(c.settings.Name, u)
-	for _, name := range *c.hostNames() {
-		if feeds(name, u) > own {
-			rank++
-		}
-	}
-	if rank >= feeders {
-		return 0
-	}
-	return coldSteady * most / float64(feeders)
-}
-
-func feeds(host string, u *registrar.Upstream) uint64 {
-	return xxhash.Sum64String(host+"/"+u.ID()) ^ u.Hash()
-}
-
-// hostNames returns the names of the other live hosts, as of the last tick.
-func (c *Conductor) hostNames() *[]string {
-	if names := c.names.Load(); names != nil {
-		return names
-	}
-	return new([]string)
+	return c.feeder.Rate(u.ID(), perSecond, time.Now())
 }
 
 // reads reports whether this host reads the store for others: the strongest of
@@ -213,7 +191,7 @@
 			names = append(names, m.Name)
 		}
 		c.elect(live)
-		c.names.Store(&names)
+		c.feeder.Live(names)
 		for _, service := range c.registrar.Services() {
 			c.replan(now, service)
 		}
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -47,12 +47,6 @@
 	// The rest is left to callers that move and to objects that differ in rate.
 	shiftPart = 0.5
 
-	// coldSteady and coldBurst are the parts of a cold upstream's limit that the
-	// steady rate and one request of each feeder take. Together they are half of
-	// it, so that two groups of hosts that don't see each other stay within it.
-	coldSteady = 0.34
-	coldBurst  = 0.15
-
 	// stopLinger is the part of the time until a process is killed in which it
 	// still serves callers with a cached look-up. The rest is for requests in
 	// flight.
--- /dev/null
+++ b/internal/process/feeder/feeder.go
@@ -0,0 +1,113 @@
+// Package feeder divides what a cold upstream bears among the hosts, without
+// asking anyone.
+//
+// Few hosts feed a cold upstream, the first ones in an order by hash that all
+// hosts share. A host that has just started may not know the others yet, so it
+// counts those that are recorded in the store, and feeds nothing before it has
+// read them.
+package feeder
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// steady and burst are the parts of the limit that the even rate of all
+	// feeders and one request of each take. Together they are half of it, so that
+	// two groups of hosts that don't see each other stay within it.
+	steady = 0.34
+	burst  = 0.15
+	// settle is how long a host takes to find the others: joining takes up to 2 s
+	// after the first seed answers, and seeds may start as late as this host.
+	settle = 6 * time.Second
+	// unknown is the number of hosts that is assumed before any is known. It is
+	// the size of the largest fleet in use, rounded up.
+	unknown = 100
+)
+
+// Limit is what all hosts together may send to a cold upstream in one second:
+// Factor times what it bears, plus Slack requests.
+type Limit struct {
+	Factor, Slack float64
+}
+
+// Feeder is the view of one host. It is safe for concurrent use.
+type Feeder struct {
+	name  string
+	limit Limit
+	start time.Time
+
+	mu       sync.RWMutex
+	live     []string
+	recorded []string
+	read     bool
+}
+
+// New returns the view of a host that starts at the given time.
+func New(name string, l Limit, start time.Time) *Feeder {
+	return &Feeder{name: name, limit: l, start: start}
+}
+
+// Live sets the other hosts that answer.
+func (f *Feeder) Live(names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = names
+}
+
+// Recorded sets the hosts that are recorded in the store.
+func (f *Feeder) Recorded(names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recorded, f.read = names, true
+}
+
+// Hosts returns how many hosts share a limit, at least 1, given those that the
+// membership knows.
+func (f *Feeder) Hosts(known int, now time.Time) int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	switch {
+	case now.Sub(f.start) >= settle:
+		return max(known, 1)
+	case !f.read:
+		return max(known, unknown)
+	default:
+		return max(known, len(f.recorded), 1)
+	}
+}
+
+// Rate returns how many requests per second this host may send to a cold
+// upstream that bears perSecond, evenly spaced; 0 for none.
+func (f *Feeder) Rate(upstream string, perSecond float64, now time.Time) float64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	starting := now.Sub(f.start) < settle
+	if starting && !f.read {
+		return 0
+	}
+	most := perSecond*f.limit.Factor + f.limit.Slack
+	feeders := max(1, int(burst*most))
+	own := order(f.name, upstream)
+	ahead := make(map[string]bool)
+	count := func(names []string) {
+		for _, name := range names {
+			if name != f.name && order(name, upstream) > own {
+				ahead[name] = true
+			}
+		}
+	}
+	count(f.live)
+	if starting {
+		count(f.recorded)
+	}
+	if len(ahead) >= feeders {
+		return 0
+	}
+	return steady * most / float64(feeders)
+}
+
+func order(host, upstream string) uint64 { return xxhash.Sum64String(host + "/" + upstream) }
--- /dev/null
+++ b/internal/process/feeder/feeder_test.go
@@ -0,0 +1,76 @@
+package feeder_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/feeder"
+)
+
+// Guards against more than a cold upstream bears, summed over all hosts: after
+// all of them lost power at once, each took itself for the only host, and a cold
+// upstream got 16 requests in a second where 13.8 were allowed.
+func TestSumOverHosts(t *testing.T) {
+	start := time.Now()
+	limit := feeder.Limit{Factor: 1.5, Slack: 8}
+	const perSecond = 3.9
+	for name, c := range map[string]struct {
+		hosts int
+		view  func(f *feeder.Feeder, i int, names []string)
+		after time.Duration
+		fed   bool
+	}{
+		"all known":                 {84, func(f *feeder.Feeder, _ int, names []string) { f.Live(names) }, time.Minute, true},
+		"all start, recorded":       {84, func(f *feeder.Feeder, _ int, names []string) { f.Recorded(names) }, time.Second, true},
+		"all start, nothing known":  {84, func(*feeder.Feeder, int, []string) {}, time.Second, false},
+		"two sides of a partition":  {84, func(f *feeder.Feeder, i int, names []string) { f.Live(half(names, i%2)) }, time.Minute, true},
+		"8 hosts":                   {8, func(f *feeder.Feeder, _ int, names []string) { f.Live(names) }, time.Minute, true},
+		"300 hosts":                 {300, func(f *feeder.Feeder, _ int, names []string) { f.Live(names) }, time.Minute, true},
+		"recorded, some found":      {84, func(f *feeder.Feeder, i int, names []string) { f.Recorded(names); f.Live(half(names, i%2)) }, time.Second, true},
+		"one host for a long time":  {1, func(*feeder.Feeder, int, []string) {}, time.Minute, true},
+		"store down, a minute late": {1, func(f *feeder.Feeder, _ int, _ []string) { f.Live(nil) }, time.Minute, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var names []string
+			for i := range c.hosts {
+				names = append(names, fmt.Sprintf("host-%d", i))
+			}
+			for u := range 20 {
+				sum := 0.0
+				for i, name := range names {
+					f := feeder.New(name, limit, start)
+					c.view(f, i, names)
+					if r := f.Rate(fmt.Sprintf("u%d", u), perSecond, start.Add(c.after)); r > 0 {
+						sum += r + 1 // evenly spaced, so one more in any second
+					}
+				}
+				assert.Assert(t, sum <= perSecond*limit.Factor+limit.Slack, "%v", sum)
+				assert.Equal(t, sum > 0, c.fed)
+			}
+		})
+	}
+}
+
+func half(names []string, n int) (out []string) {
+	for i, name := range names {
+		if i%2 == n {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Guards against a host that takes the whole of a shared number before it knows
+// the others.
+func TestHosts(t *testing.T) {
+	start := time.Now()
+	f := feeder.New("a", feeder.Limit{}, start)
+	assert.Assert(t, f.Hosts(1, start) >= 84)
+	f.Recorded([]string{"a", "b", "c"})
+	assert.Equal(t, f.Hosts(1, start), 3)
+	assert.Equal(t, f.Hosts(5, start), 5)
+	assert.Equal(t, f.Hosts(1, start.Add(time.Minute)), 1)
+}
