--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -235,11 +235,11 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	// RawConn.Read would fail after the deadline of the last request.
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, failure := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = failure == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -186,3 +186,22 @@
 	assert.Equal(t, classifier.Of(err).Outcome(), classifier.MayHaveRun)
 	<-closed
 }
+
+// Guards against a kept connection that is dropped because the deadline of its
+// last request is over: 140 of 220 connections of a host were opened for that.
+func TestKeptConnectionOutlivesItsDeadline(t *testing.T) {
+	address, _ := upstream(t, answer(first))
+	s := newSender(t)
+	for range 2 {
+		c, err := s.Get(t.Context(), address, 0)
+		assert.NilError(t, err)
+		deadline := time.Now().Add(300 * time.Millisecond)
+		a, err := c.Do(t.Context(), &sender.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"1"}}}, deadline)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(a.Body)
+		assert.NilError(t, err)
+		c.Done()
+		time.Sleep(time.Until(deadline.Add(10 * time.Millisecond)))
+	}
+	assert.Equal(t, s.Opened(), int64(1))
+}
