--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -149,6 +149,7 @@
 	c.sender = sender.New(sender.Options{
 		Dial: dialer(upstreamSilence).DialContext, Open: openWithin, Idle: idleWithin, Own: c.own,
 	})
+	c.meter.Derive(meter.Dials, c.sender.Opened)
 	st := steerer.New(steerer.Options{
 		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: budgeter.New(s.Budget, c.fleet), Sender: c.sender,
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -109,13 +109,6 @@
 	return f.version
 }
 
-// Heard returns when the copy was last confirmed, by the store or another host.
-func (f *Follower) Heard() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.heard
-}
-
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := pauseFirst
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -145,20 +145,6 @@
 	r.tell(u, "registration removed")
 }
 
-// Retain forgets the upstreams that are not in the set, after a whole read of
-// the registrations.
-func (r *Registrar) Retain(ids map[string]bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, u := range r.upstreams {
-		if !ids[id] {
-			delete(r.upstreams, id)
-			r.tell(u, "registration missing")
-		}
-	}
-	r.publish()
-}
-
 // Evacuate says that the upstreams of a zone get no new work, or may get some
 // again. A zone that returns is taken for cold until its upstreams report.
 func (r *Registrar) Evacuate(zone string, on bool, now time.Time) {
@@ -180,18 +166,6 @@
 	r.publish()
 }
 
-// Evacuated returns the zones that get no new work.
-func (r *Registrar) Evacuated() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []string
-	for zone := range r.evacuated {
-		out = append(out, zone)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (r *Registrar) tell(u *Upstream, sign string) {
 	if r.onLeave != nil {
 		r.onLeave(u, sign)
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -107,9 +107,6 @@
 // Hash returns the hash of its ID.
 func (u *Upstream) Hash() uint64 { return u.hash }
 
-// Flight returns how many requests of this host are there.
-func (u *Upstream) Flight() int { return int(u.flight.Load()) }
-
 // report takes over what the upstream registered.
 func (u *Upstream) report(reg Registration, now time.Time, first bool) {
 	u.mu.Lock()
@@ -152,13 +149,6 @@
 	u.warm = nil
 }
 
-// Chill takes the upstream for cold until a time that it named itself.
-func (u *Upstream) Chill(until time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.coldUntil = until
-}
-
 // Cold reports whether it is cold or may be.
 func (u *Upstream) Cold(now time.Time) bool {
 	u.mu.Lock()
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -327,3 +327,28 @@
 	}
 	assert.Equal(t, sent, 4)
 }
+
+// BenchmarkChoose measures one decision with the upstreams of today and of the
+// target's size.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{14, 270, 2400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			r := registrar.New(map[string]string{"z0": "r0", "z1": "r1", "z2": "r2"})
+			for u := range n {
+				r.Put(registrar.Registration{ID: fmt.Sprintf("u%d", u), Service: "s", Address: "a", Zone: fmt.Sprintf("z%d", u%3), Slots: 9, Version: 1}, now, true)
+			}
+			rk := ranker.New("r0")
+			q := ranker.Query{
+				Group: r.Group("s"), Regions: []string{"r0", "r1", "r2"}, Weights: []float64{0.4, 0.2, 0.4}, Left: time.Second, Target: time.Second,
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				q.Object = uint64(i%300+1) * 0x9e3779b97f4a7c15
+				if rk.Choose(now, "s", &q).Upstream == nil {
+					b.Fatal("no upstream")
+				}
+			}
+		})
+	}
+}
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -28,11 +28,10 @@
 
 // Signs is what an upstream says with its answer, besides the answer.
 type Signs struct {
-	Signed   bool // the answer is the upstream's own
-	NotRun   bool // the upstream did not run the request and will not
-	Load     registrar.Load
-	Loaded   bool // Load was given
-	Instance string
+	Signed bool // the answer is the upstream's own
+	NotRun bool // the upstream did not run the request and will not
+	Load   registrar.Load
+	Loaded bool // Load was given
 }
 
 // Dialect knows the names of the header fields that callers and upstreams use.
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -53,11 +53,8 @@
 
 // Service describes what the upstreams of a service allow.
 type Service struct {
-	Name        string
-	Health      string        // path of the health check
-	Connections int           // an upstream accepts, from all hosts together
-	Cold        time.Duration // how long a started upstream stays cold
-	ColdRate    float64       // requests per second that a cold upstream bears
+	Name     string
+	ColdRate float64 // requests per second that a cold upstream bears
 }
 
 // Limits bounds what one caller may send. Zero fields mean the acceptor's
