--- a/internal/process/apportioner/apportioner.go
+++ b/internal/process/apportioner/apportioner.go
@@ -19,7 +19,7 @@
 // crossing is the part of a host's requests that may leave their planned region
 // because another one answers sooner. What crosses in one moment and not in the
 // next counts as a shift, as do changes of the plan.
-const crossing = 0.05
+const crossing = 0.02
 
 // Apportioner keeps the plan of one host. It is safe for concurrent use.
 type Apportioner struct {
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -60,9 +60,10 @@
 	// several times the work of a known one. A fleet that spreads its objects
 	// while it has no room left keeps itself overloaded.
 	idle = 0.7
-	// patience is the least part of the target that a request may wait in an
-	// upstream's queue, when the work alone takes most of the target.
-	patience = 0.5
+	// patience is the part of the target that a request may wait in an upstream's
+	// queue. Longer queues make every answer late, shorter ones refuse what a lull
+	// could still serve.
+	patience = 1.0
 )
 
 // Query describes one attempt.
@@ -238,7 +239,7 @@
 		best = &s.planned
 		s.failing = s.failing || c.doubtful
 	}
-	most := max(q.Target-c.Work, time.Duration(patience*float64(q.Target)))
+	most := time.Duration(patience * float64(q.Target))
 	s.room = min(s.room, c.Wait-most)
 	if c.cost >= best.cost || c.Wait > most || c.Wait+c.Work > q.Left {
 		return
