Ignore callers that leave early in the speed of upstreams, and wait in one place

A caller that left before the expected time counted as a quick answer of its upstream. Registrations that change nothing no longer rebuild the view of the upstreams. The three copies of a wait with a context are one package.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -26,6 +26,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
@@ -298,7 +299,7 @@
 	c.gossiper.SetReady(false)
 	c.acceptor.Stop()
 	c.tellAll(ctx)
-	wait(ctx, time.Duration(stopLinger*float64(grace)))
+	sleeper.Sleep(ctx, time.Duration(stopLinger*float64(grace)))
 	_ = front.Close()
 	hard, cancel := context.WithDeadline(ctx, begun.Add(grace-stopMargin))
 	defer cancel()
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -15,6 +15,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -47,7 +48,7 @@
 			c.addSeeds(hosts)
 		}
 		cancel()
-		wait(ctx, announcePeriod/2+rand.N(announcePeriod))
+		sleeper.Sleep(ctx, announcePeriod/2+rand.N(announcePeriod))
 	}
 }
 
@@ -196,7 +197,7 @@
 			c.replan(now, service)
 		}
 		c.ready()
-		wait(ctx, tickPeriod)
+		sleeper.Sleep(ctx, tickPeriod)
 	}
 }
 
@@ -260,7 +261,7 @@
 		if address, ok := c.partner(); ok {
 			c.sync(ctx, address)
 		}
-		wait(ctx, exchangePeriod/2+rand.N(exchangePeriod))
+		sleeper.Sleep(ctx, exchangePeriod/2+rand.N(exchangePeriod))
 	}
 }
 
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"context"
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
@@ -66,15 +65,3 @@
 	c.gossiper.SetVersion(t.Version())
 	c.log.Event(logger.VersionInstalled).Uint64("version", t.Version()).Int("routes", t.Routes()).Uint64("row", r.Version).Send()
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -115,7 +116,7 @@
 	for ctx.Err() == nil {
 		begun := time.Now()
 		if f.idle(begun) {
-			wait(ctx, idlePause)
+			sleeper.Sleep(ctx, idlePause)
 			continue
 		}
 		err := f.step(ctx)
@@ -131,7 +132,7 @@
 		} else {
 			pause = pauseFirst
 		}
-		wait(ctx, rest)
+		sleeper.Sleep(ctx, rest)
 	}
 }
 
@@ -271,15 +272,3 @@
 	}
 	return page, whole, true
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -114,6 +114,7 @@
 	if u != nil && reg.Version <= u.seen {
 		return
 	}
+	changed := u == nil || u.leaving != reg.Draining
 	if u == nil || u.address != reg.Address || u.service != reg.Service || u.zone != reg.Zone || u.slots != reg.Slots {
 		old := u
 		u = newUpstream(reg, r.regions[reg.Zone])
@@ -121,12 +122,15 @@
 			u.inherit(old)
 		}
 		r.upstreams[reg.ID] = u
+		changed = true
 	}
 	u.seen = reg.Version
 	leaves := reg.Draining && !u.leaving
 	u.leaving = reg.Draining
 	u.report(reg, now, first)
-	r.publish()
+	if changed {
+		r.publish()
+	}
 	if leaves {
 		r.tell(u, "registered as draining")
 	}
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -135,6 +135,19 @@
 	assert.Assert(t, bad < 0.15 && slow < 2, "%v %v", slow, bad)
 }
 
+// Guards against callers that leave early and make an upstream look quick.
+func TestEarlyLeaversSayNothing(t *testing.T) {
+	now := time.Now()
+	r := registrar.New(zones)
+	r.Put(entry("x", 1), now, true)
+	u := r.Group("s").Upstreams()[0]
+	for range 20 {
+		u.Late(now, 0.3)
+	}
+	slow, _ := u.Quality(now)
+	assert.Equal(t, slow, 1.0)
+}
+
 // Guards against memory that grows with the number of objects.
 func TestKnownObjectsAreBounded(t *testing.T) {
 	now := time.Now()
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -258,8 +258,12 @@
 	u.result(0, now)
 }
 
-// Late records that no answer came within ratio times the expected time.
+// Late records that no answer came within ratio times the expected time. Before
+// the expected time that says nothing, as when a caller left.
 func (u *Upstream) Late(now time.Time, ratio float64) {
+	if ratio <= 1 {
+		return
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.time(ratio, now)
--- a/internal/process/runner/peers.go
+++ b/internal/process/runner/peers.go
@@ -12,6 +12,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/request/finder"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
@@ -230,7 +231,7 @@
 func (p *parts) watchHosts(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.readHosts(ctx)
-		wait(ctx, listPeriod)
+		sleeper.Sleep(ctx, listPeriod)
 	}
 }
 
--- a/internal/process/runner/stop.go
+++ b/internal/process/runner/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
 )
 
 const (
@@ -28,7 +29,7 @@
 	r.parts.refreshHosts()
 	ctx, cancel := r.bounded(ctx)
 	defer cancel()
-	wait(ctx, lifetime)
+	sleeper.Sleep(ctx, lifetime)
 	if err := r.caller.Shutdown(ctx); err != nil {
 		r.cutOff()
 	}
@@ -72,19 +73,10 @@
 	r.log.Event(logger.WorkCutOff).Strs("requests", ids).Int("count", r.parts.drainer.Flight()).Send()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func poll(ctx context.Context, d time.Duration, done func() bool) {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	for !done() && ctx.Err() == nil {
-		wait(ctx, pollPeriod)
+		sleeper.Sleep(ctx, pollPeriod)
 	}
 }
