Wait for a leaving host's pings apart from its probes

Leave waited for its pings with the WaitGroup to which Run still added probes.

Change: Leave waits with a WaitGroup of its own. The test fails under the race detector without it.

--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -94,10 +94,12 @@
 	g.detector.Leave()
 	neighbours := g.detector.Neighbours()
 	g.mu.Unlock()
+	// Run may start probes of its own meanwhile.
+	var wg sync.WaitGroup
 	for _, m := range neighbours {
-		g.wg.Go(func() { g.ping(ctx, m.Address, false) })
+		wg.Go(func() { g.ping(ctx, m.Address, false) })
 	}
-	g.wg.Wait()
+	wg.Wait()
 }
 
 // stamp completes an envelope with the sender and membership updates.
