--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -42,9 +42,14 @@
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, announceWithin)
 		if !announced {
-			announced = c.platform.Announce(call, Host{Name: c.settings.Name, Peer: c.settings.Peer}) == nil
+			err := c.platform.Announce(call, Host{Name: c.settings.Name, Peer: c.settings.Peer})
+			if announced = err == nil; !announced {
+				c.log.Event(logger.StoreFailed).Str("call", "announce").Err(err).Send()
+			}
 		}
-		if hosts, err := c.platform.Hosts(call); err == nil {
+		if hosts, err := c.platform.Hosts(call); err != nil {
+			c.log.Event(logger.StoreFailed).Str("call", "hosts").Err(err).Send()
+		} else {
 			c.addSeeds(hosts)
 		}
 		cancel()
@@ -143,8 +148,7 @@
 	return c.feeder.Rate(u.ID(), perSecond, time.Now())
 }
 
-// reads reports whether this host reads the store for others: the strongest of
-// its region, and all hosts of a small fleet's region that has no other.
+// reads reports whether this host reads the store for the others of its region.
 func (c *Conductor) reads() bool { return c.reader.Load() }
 
 // elect finds the hosts that read the store, one in each region. Two hosts may
