Measure the ways between regions before the first request

In the log of that window, 170 of 260 first look-ups of an object went to another region, 150 of them late. The way to a region not yet measured was assumed to be 60 ms, so the first plan spread objects over regions 110 ms apart, and took 18 s to become the local one. The same happened after every restart.

Ruled out: objects learned twice within a region (requests beside the first one of an object took 127 ms, as for a known object); queues (no wait was expected).

Change: hosts time their connections to each other, which they open before traffic; objects are spread only over measured ways; until the host's first request a plan is its target, since nothing can shift.

--- a/internal/process/apportioner/apportioner.go
+++ b/internal/process/apportioner/apportioner.go
@@ -30,6 +30,7 @@
 
 	mu     sync.Mutex
 	plans  map[string]*plan
+	served bool // a request was counted
 	window window
 }
 
@@ -118,13 +119,14 @@
 	return scaled(slots, 1/have)
 }
 
-// Move returns the plan with a name after it was moved towards a target. The
+// Move returns the plan with a name after it was moved towards a target. Before
+// the first request of the host nothing shifts, so the plan is the target. The
 // result must not be changed.
 func (a *Apportioner) Move(now time.Time, name string, target, slots []float64) []float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.plans[name]
-	if p == nil || len(p.weights) != len(target) || sum(p.weights) == 0 {
+	if p == nil || !a.served || len(p.weights) != len(target) || sum(p.weights) == 0 {
 		a.plans[name] = &plan{weights: target, moved: now}
 		return target
 	}
@@ -137,6 +139,7 @@
 func (a *Apportioner) Count(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.served = true
 	a.advance(now)
 	a.window.all[a.window.slot%buckets]++
 }
--- a/internal/process/apportioner/apportioner_test.go
+++ b/internal/process/apportioner/apportioner_test.go
@@ -47,6 +47,7 @@
 	slots := []float64{10, 50}
 	first := a.Move(now, "s", a.Local([]float64{5, 5}, slots), slots)
 	assert.Equal(t, first[0], 1.0)
+	a.Count(now)
 	for i := 1; i <= 20; i++ {
 		a.Move(now.Add(time.Duration(i)*100*time.Millisecond), "s", a.Local([]float64{50, 5}, slots), slots)
 	}
@@ -54,6 +55,19 @@
 	assert.Assert(t, moved > 0.07 && moved <= 0.0751, "%v", moved)
 }
 
+// Guards against a first plan that outlasts better knowledge: hosts learned how far
+// the regions are between their first plan and the first request, and then took
+// 18 s to leave a plan for near regions, with objects learned far away meanwhile.
+func TestPlanIsTheTargetBeforeTheFirstRequest(t *testing.T) {
+	a := apportioner.New(0, 0.0375)
+	now := time.Now()
+	slots := []float64{54, 18, 54}
+	a.Move(now, "s", apportioner.Spread(slots), slots)
+	local := a.Local([]float64{20, 20, 20}, slots)
+	w := a.Move(now.Add(time.Millisecond), "s", local, slots)
+	assert.DeepEqual(t, w, local)
+}
+
 // Guards against requests that wait for a plan to move while their region has no
 // upstream any more.
 func TestRegionWithoutUpstreamsIsLeftAtOnce(t *testing.T) {
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -113,7 +113,8 @@
 
 	reader  atomic.Bool // this host reads the store for others
 	readers atomic.Pointer[[]string]
-	turn    int // of the exchange; used by one goroutine
+	turn    int      // of the exchange; used by one goroutine
+	opened  sync.Map // address of a host to the time that a connection took
 
 	lifetime atomic.Int64 // of a look-up's answer, in nanoseconds
 	grace    atomic.Int64 // in nanoseconds
@@ -138,7 +139,7 @@
 	if c.linker, err = linker.New(settler.Peer{Listen: s.Peer, Plain: true}, c.handle); err != nil {
 		return nil, err
 	}
-	c.linker.UseDial(dialer(peerSilence).DialContext)
+	c.linker.UseDial(c.dialHost)
 	c.gossiper = gossiper.New(c.self(now), c.linker, c.seedAddresses)
 	c.gossiper.OnChange(c.changed)
 	c.feeder = feeder.New(s.Name, s.Cold, now)
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -196,6 +197,7 @@
 			names = append(names, m.Name)
 		}
 		c.elect(live)
+		c.approach(live)
 		c.feeder.Live(names)
 		for _, service := range c.registrar.Services() {
 			c.replan(now, service)
@@ -230,11 +232,36 @@
 	}
 	farthest := time.Duration(0)
 	for _, region := range c.regions {
-		farthest = max(farthest, c.ranker.Distance(region))
+		way, measured := c.ranker.Distance(region)
+		if !measured {
+			return false
+		}
+		farthest = max(farthest, way)
 	}
 	return float64(farthest) <= spreadPart*float64(t.Target(service))
 }
 
+// dialHost opens a connection to another host. The time that it takes is the way
+// to the host's region and back, which is so known before the first request.
+func (c *Conductor) dialHost(ctx context.Context, network, address string) (net.Conn, error) {
+	begun := time.Now()
+	conn, err := dialer(peerSilence).DialContext(ctx, network, address)
+	if err == nil {
+		c.opened.Store(address, time.Since(begun))
+	}
+	return conn, err
+}
+
+// approach records how long connections to members took. A seed's region is known
+// only after it has answered.
+func (c *Conductor) approach(live []*framer.Member) {
+	for _, m := range live {
+		if took, ok := c.opened.LoadAndDelete(m.Address); ok {
+			c.ranker.Approach(m.Region, took.(time.Duration))
+		}
+	}
+}
+
 // Count implements steerer.Planner.
 func (c *Conductor) Count(service string) {
 	c.surveyor.Count(service)
--- a/internal/process/conductor/fleet_internal_test.go
+++ b/internal/process/conductor/fleet_internal_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
+	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 )
 
 // Guards against callers spread evenly over hosts of which most have a fifth of
@@ -38,3 +41,35 @@
 		})
 	}
 }
+
+// Guards against objects that are learned far away because the way to a region
+// was assumed to be short before a connection there had shown it.
+func TestSpreadsOnlyOverMeasuredWays(t *testing.T) {
+	table, err := matcher.New(1, []matcher.Route{{
+		Name: "r", Host: "a.example", Prefix: "/a/", Class: matcher.Lookup, Target: 400 * time.Millisecond,
+		Timeout: time.Second, Attempts: 1, Backends: []matcher.Backend{{Service: "s", Weight: 1}},
+	}}, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	assert.NilError(t, err)
+	for name, c := range map[string]struct {
+		ways []time.Duration
+		want bool
+	}{
+		"not measured":  {nil, false},
+		"one of two":    {[]time.Duration{10 * time.Millisecond}, false},
+		"near":          {[]time.Duration{10 * time.Millisecond, 24 * time.Millisecond}, true},
+		"one is remote": {[]time.Duration{10 * time.Millisecond, 110 * time.Millisecond}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conductor := &Conductor{regions: []string{"own", "r0", "r1"}, ranker: ranker.New("own")}
+			conductor.table.Store(table)
+			var live []*framer.Member
+			for i, way := range c.ways {
+				m := &framer.Member{Address: fmt.Sprint(i), Region: fmt.Sprint("r", i)}
+				conductor.opened.Store(m.Address, way)
+				live = append(live, m)
+			}
+			conductor.approach(live)
+			assert.Equal(t, conductor.spreads("s"), c.want)
+		})
+	}
+}
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -124,17 +124,24 @@
 	r.ways[region] = quantile(old, took.Seconds(), wayQuantile)
 }
 
-// Distance returns the time to a region and back. The own region counts as none.
-func (r *Ranker) Distance(region string) time.Duration {
+// Distance returns the time to a region and back, and whether it was measured.
+// The own region counts as none.
+func (r *Ranker) Distance(region string) (way time.Duration, measured bool) {
 	if region == r.region {
-		return 0
+		return 0, true
 	}
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if way, ok := r.ways[region]; ok {
-		return seconds(way)
+		return seconds(way), true
 	}
-	return defaultWay
+	return defaultWay, false
+}
+
+// way returns the time to a region and back, as far as it is known.
+func (r *Ranker) way(region string) time.Duration {
+	way, _ := r.Distance(region)
+	return way
 }
 
 func (r *Ranker) work(service string) *work {
@@ -156,7 +163,7 @@
 // Observe records how long an answer took that did not wait at its upstream.
 func (r *Ranker) Observe(service string, warm bool, region string, took time.Duration) {
 	w := r.work(service)
-	took = max(0, took-r.Distance(region))
+	took = max(0, took-r.way(region))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if warm {
@@ -281,8 +288,8 @@
 	if rank == 0 && object != 0 {
 		work = warm
 	}
-	c.Work = time.Duration(float64(c.Work)*slow) + r.Distance(u.Region())
-	c.cost = time.Duration(float64(work)*slow) + r.Distance(u.Region()) + c.Wait
+	c.Work = time.Duration(float64(c.Work)*slow) + r.way(u.Region())
+	c.cost = time.Duration(float64(work)*slow) + r.way(u.Region()) + c.Wait
 	c.cost += time.Duration(bad * failureCost * float64(cold))
 	c.doubtful = bad > doubtBad || slow > doubtSlow || u.Cold(now)
 	if u.Full(now) {
