--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -38,16 +38,15 @@
 
 // Conn is one connection, lent for one request. It is used by one goroutine.
 type Conn struct {
-	sender   *Sender
-	group    *group
-	conn     net.Conn
-	limit    *io.LimitedReader
-	br       *bufio.Reader
-	since    time.Time // when it became idle
-	idle     time.Duration
-	expected bool // the upstream may close it at any time
-	used     bool
-	answer   *http.Response
+	sender *Sender
+	group  *group
+	conn   net.Conn
+	limit  *io.LimitedReader
+	br     *bufio.Reader
+	since  time.Time // when it became idle
+	idle   time.Duration
+	used   bool
+	answer *http.Response
 }
 
 func newConn(s *Sender, g *group, raw net.Conn) *Conn {
@@ -62,11 +61,7 @@
 
 // usable reports whether a kept connection may carry another request.
 func (c *Conn) usable() bool {
-	if time.Since(c.since) >= c.idle {
-		c.expected = true
-		return false
-	}
-	return c.br.Buffered() == 0 && peek(c.conn)
+	return time.Since(c.since) < c.idle && c.br.Buffered() == 0 && peek(c.conn)
 }
 
 var heads = sync.Pool{New: func() any { return new(bytes.Buffer) }}
--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -2,7 +2,7 @@
 // connections. A request is written at most once; nothing in this package sends
 // it again.
 //
-//	conn, err := s.Get(ctx, address, reuse)
+//	conn, err := s.Get(ctx, address)
 //	answer, err := conn.Do(ctx, request, deadline)
 //	... read answer.Body to its end ...
 //	conn.Done()
@@ -47,8 +47,6 @@
 	// Own returns whether the ID of an answer is the one of its request. The
 	// default accepts all.
 	Own func(request, answer Header) bool
-	// Lost is told about idle connections that the upstream closed early.
-	Lost func(address string)
 }
 
 // Header gives the values of a message's header.
@@ -78,9 +76,6 @@
 	if o.Own == nil {
 		o.Own = func(Header, Header) bool { return true }
 	}
-	if o.Lost == nil {
-		o.Lost = func(string) {}
-	}
 	o.Open = cmp.Or(o.Open, defaultDial)
 	o.Idle = cmp.Or(o.Idle, defaultIdle)
 	o.Header = cmp.Or(o.Header, defaultHeader)
@@ -100,23 +95,15 @@
 	return g.(*group)
 }
 
-// Get returns a kept connection, if young is zero or one was used within that
-// time, and a new one otherwise. An error is of kind Unreachable or Expired, and
-// nothing was sent.
-func (s *Sender) Get(ctx context.Context, address string, young time.Duration) (*Conn, error) {
+// Get returns a kept connection, or a new one if there is none. An error is of
+// kind Unreachable or Expired, and nothing was sent.
+func (s *Sender) Get(ctx context.Context, address string) (*Conn, error) {
 	g := s.group(address)
-	for {
-		c := g.take(young)
-		if c == nil {
-			break
-		}
+	for c := g.take(); c != nil; c = g.take() {
 		if c.usable() {
 			return c, nil
 		}
 		_ = c.conn.Close()
-		if !c.expected {
-			s.options.Lost(address)
-		}
 	}
 	opened, cancel := context.WithTimeout(ctx, s.options.Open)
 	defer cancel()
@@ -131,7 +118,7 @@
 	return newConn(s, g, raw), nil
 }
 
-func (g *group) take(young time.Duration) *Conn {
+func (g *group) take() *Conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := len(g.idle)
@@ -139,9 +126,6 @@
 		return nil
 	}
 	c := g.idle[n-1]
-	if young > 0 && time.Since(c.since) > young {
-		return nil
-	}
 	g.idle[n-1] = nil
 	g.idle = g.idle[:n-1]
 	return c
--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -70,7 +70,7 @@
 
 func do(t *testing.T, s *sender.Sender, address, id string) (string, error) {
 	t.Helper()
-	c, err := s.Get(t.Context(), address, 0)
+	c, err := s.Get(t.Context(), address)
 	if err != nil {
 		return "", err
 	}
@@ -175,7 +175,7 @@
 		close(closed)
 	})
 	s := newSender(t)
-	c, err := s.Get(t.Context(), address, 0)
+	c, err := s.Get(t.Context(), address)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
@@ -193,7 +193,7 @@
 	address, _ := upstream(t, answer(first))
 	s := newSender(t)
 	for range 2 {
-		c, err := s.Get(t.Context(), address, 0)
+		c, err := s.Get(t.Context(), address)
 		assert.NilError(t, err)
 		deadline := time.Now().Add(300 * time.Millisecond)
 		a, err := c.Do(t.Context(), &sender.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"1"}}}, deadline)
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -95,7 +95,7 @@
 func (a *attempt) exchange() error {
 	x := a.x
 	var err error
-	if a.conn, err = x.s.o.Sender.Get(a.ctx, a.up.Address(), 0); err != nil {
+	if a.conn, err = x.s.o.Sender.Get(a.ctx, a.up.Address()); err != nil {
 		return err
 	}
 	now := time.Now()
