Put changed limits in force without a signal or a new process

Cause: the platform may change the settings file without a signal, and a reload changed only two fields; retries, the limit of cold upstreams and the shift between regions stayed as at the start. A stop waited for requests until 0.3 s before the kill and then told the others for up to 0.4 s.

Change: the content of the file is read once a second, and limits change at once. The margin before the kill is longer than the time to tell the others.

--- a/cmd/dandeliontrack/entry.go
+++ b/cmd/dandeliontrack/entry.go
@@ -12,6 +12,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/process/conductor"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/watcher"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 	"dandeliontrack.example/dandeliontrack/platform"
 )
@@ -57,11 +58,7 @@
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		for range hup {
-			reload(path, host)
-		}
-	}()
+	go watcher.New(path).Run(ctx, hup, func() { reload(path, host) })
 	return host.Run(ctx)
 }
 
--- a/internal/process/apportioner/apportioner.go
+++ b/internal/process/apportioner/apportioner.go
@@ -23,12 +23,11 @@
 
 // Apportioner keeps the plan of one host. It is safe for concurrent use.
 type Apportioner struct {
-	own  int // index of the host's region
-	step float64
-
+	own   int // index of the host's region
 	start time.Time
 
 	mu     sync.Mutex
+	step   float64 // largest part of the requests that changes region in a second
 	plans  map[string]*plan
 	served bool // a request was counted
 	window window
@@ -45,6 +44,14 @@
 	return &Apportioner{own: own, step: step, start: time.Now(), plans: make(map[string]*plan)}
 }
 
+// SetStep changes the largest part of the requests that changes region within a
+// second.
+func (a *Apportioner) SetStep(step float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.step = step
+}
+
 // Target returns the parts of the requests of region own that each region
 // serves. Demand is in slots that are busy on average, by the region of the
 // callers, and slots by the region of the upstreams. The parts sum up to 1, or
--- a/internal/process/budgeter/budgeter.go
+++ b/internal/process/budgeter/budgeter.go
@@ -31,11 +31,11 @@
 // Budgeter counts the requests and second attempts of one host. It is safe for
 // concurrent use.
 type Budgeter struct {
-	limit Limit
 	hosts func() int
 	start time.Time
 
 	mu       sync.Mutex
+	limit    Limit
 	services map[string]*service
 }
 
@@ -50,6 +50,15 @@
 	return &Budgeter{limit: l, hosts: hosts, start: time.Now(), services: make(map[string]*service)}
 }
 
+// SetLimit changes the limit. The window stays, because the counts are kept in
+// parts of it.
+func (b *Budgeter) SetLimit(l Limit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l.Window = b.limit.Window
+	b.limit = l
+}
+
 // at returns the counts of a service with the window moved to now. Called with
 // mu held.
 func (b *Budgeter) at(name string, now time.Time) *service {
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -56,6 +56,9 @@
 	Share     float64 // of a processor
 }
 
+// step returns the largest part of the requests that plans move within a second.
+func (s *Settings) step() float64 { return shiftPart * s.Shift / s.ShiftSpan.Seconds() }
+
 // Host is what a host says of itself in the store.
 type Host struct {
 	Name string
@@ -101,6 +104,7 @@
 	registrar *registrar.Registrar
 	surveyor  *surveyor.Surveyor
 	plan      *apportioner.Apportioner
+	budget    *budgeter.Budgeter
 	feeder    *feeder.Feeder
 	ranker    *ranker.Ranker
 	sender    *sender.Sender
@@ -146,7 +150,8 @@
 	c.registrar = registrar.New(s.Zones)
 	c.registrar.OnLeave(c.leaves)
 	c.surveyor = surveyor.New(s.Name, s.Region, now)
-	c.plan = apportioner.New(slices.Index(c.regions, s.Region), shiftPart*s.Shift/s.ShiftSpan.Seconds())
+	c.plan = apportioner.New(slices.Index(c.regions, s.Region), s.step())
+	c.budget = budgeter.New(s.Budget, c.fleet)
 	c.ranker = ranker.New(s.Region)
 	c.sender = sender.New(sender.Options{
 		Dial: dialer(upstreamSilence).DialContext, Open: openWithin, Idle: idleWithin, Own: c.own,
@@ -154,7 +159,7 @@
 	c.meter.Derive(meter.Dials, c.sender.Opened)
 	st := steerer.New(steerer.Options{
 		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate,
-		Upstreams: c.registrar, Ranker: c.ranker, Budget: budgeter.New(s.Budget, c.fleet), Sender: c.sender,
+		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
 		Log: log, Meter: c.meter,
 	})
 	c.acceptor = acceptor.New(acceptor.Options{Handler: st, Limits: c.limits, Repeatable: st.Repeatable})
@@ -279,9 +284,9 @@
 	return ready
 }
 
-// Reload puts changed settings in force: the lifetime of look-ups and the time
-// for a stop. The other fields need a new process. With an error, the settings
-// in force stay.
+// Reload puts changed settings in force: the lifetime of look-ups, the time for a
+// stop and the limits over all hosts. Addresses and places need a new process.
+// With an error, the settings in force stay.
 func (c *Conductor) Reload(s Settings, err error) {
 	if err != nil {
 		c.log.Event(logger.SettingsRefused).Err(err).Send()
@@ -289,7 +294,11 @@
 	}
 	c.lifetime.Store(int64(s.Lifetime))
 	c.grace.Store(int64(s.Grace))
-	c.log.Event(logger.SettingsRead).Dur("lifetime", s.Lifetime).Dur("grace", s.Grace).Send()
+	c.budget.SetLimit(s.Budget)
+	c.feeder.SetLimit(s.Cold)
+	c.plan.SetStep(s.step())
+	c.log.Event(logger.SettingsRead).Dur("lifetime", s.Lifetime).Dur("grace", s.Grace).
+		Float64("retries", s.Budget.Ratio).Float64("shift", s.Shift).Float64("cold", s.Cold.Factor).Send()
 }
 
 // stop ends the work of the host in order.
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -51,8 +51,9 @@
 	// still serves callers with a cached look-up. The rest is for requests in
 	// flight.
 	stopLinger = 0.5
-	// stopMargin is the time that is left to end the process.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is the time that is left to tell the other hosts and to end the
+	// process, which takes some 0.1 s on a slow host.
+	stopMargin = leaveWithin + 200*time.Millisecond
 
 	// spreadPart is the part of a service's target that the way to the farthest
 	// region and back may take if objects are spread over all regions.
--- /dev/null
+++ b/internal/process/conductor/reload_internal_test.go
@@ -0,0 +1,50 @@
+package conductor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
+	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
+	"dandeliontrack.example/dandeliontrack/internal/process/feeder"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
+)
+
+// Guards against limits that an operator lowered and that stay as they were at the
+// start of the process.
+func TestReload(t *testing.T) {
+	now := time.Now()
+	s := Settings{
+		Shift: 1, ShiftSpan: time.Second, Cold: feeder.Limit{Factor: 1, Slack: 10},
+		Budget: budgeter.Limit{Fixed: 1000, Window: 10 * time.Second},
+	}
+	c := &Conductor{
+		budget: budgeter.New(s.Budget, func() int { return 1 }), feeder: feeder.New("h", s.Cold, now),
+		plan: apportioner.New(0, s.step()),
+	}
+	c.feeder.Recorded(nil)
+	slots, from, to := []float64{1, 1}, []float64{1, 0}, []float64{0, 1}
+	c.plan.Move(now, "p", from, slots)
+	c.plan.Count(now)
+
+	changed := s
+	changed.Budget.Fixed, changed.Cold, changed.Shift = 0, feeder.Limit{}, 0
+	c.Reload(changed, classifier.Invalid.New("wrong"))
+	assert.Assert(t, c.budget.Take("s", now))
+	assert.Assert(t, c.feeder.Rate("u", 0, now) > 0)
+	w := c.plan.Move(now.Add(time.Second), "p", to, slots)
+	assert.Assert(t, w[1] > 0.4, "%v", w)
+
+	c.Reload(changed, nil)
+	assert.Assert(t, !c.budget.Take("s", now))
+	assert.Equal(t, c.feeder.Rate("u", 0, now), 0.0)
+	assert.DeepEqual(t, c.plan.Move(now.Add(time.Minute), "p", to, slots), w)
+}
+
+// Guards against a host that is killed at the end of its time to stop because it
+// still tells the other hosts: on the bench one process of a rolling restart was.
+func TestStopLeavesTimeToTellOthers(t *testing.T) {
+	assert.Assert(t, stopMargin > leaveWithin)
+}
--- a/internal/process/feeder/feeder.go
+++ b/internal/process/feeder/feeder.go
@@ -37,10 +37,10 @@
 // Feeder is the view of one host. It is safe for concurrent use.
 type Feeder struct {
 	name  string
-	limit Limit
 	start time.Time
 
 	mu       sync.RWMutex
+	limit    Limit
 	live     []string
 	recorded []string
 	read     bool
@@ -51,6 +51,13 @@
 	return &Feeder{name: name, limit: l, start: start}
 }
 
+// SetLimit changes the limit.
+func (f *Feeder) SetLimit(l Limit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limit = l
+}
+
 // Live sets the other hosts that answer.
 func (f *Feeder) Live(names []string) {
 	f.mu.Lock()
