Send whole tables only to hosts that the store leaves alone

A table of 3,002 rows has 0.8 MB, more than a link of 10 Mbit/s carries within the 0.6 s of an exchange. Hosts that start asked others for it every 0.2 s while their own read was under way, and each host whose copy was older than the other's first read, or than a read after the store dropped its history, got the whole table.

Change: a host asks for whole tables only while the store fails it or its first read takes over 0.3 s. A copy that reads the table anew keeps the deletions that it sees, and only copies of a version in between need the whole. Rows are searched only if one is newer than the asking copy's version.

--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -318,7 +318,9 @@
 	defer cancel()
 	offer := &framer.Sync{Demands: c.surveyor.Demands(c.reader.Load(), time.Now())}
 	for name, f := range c.followers {
-		offer.Tables = append(offer.Tables, &framer.TableVersion{Table: name, Version: f.Version()})
+		if version, whole, ok := f.Asks(); ok {
+			offer.Tables = append(offer.Tables, &framer.TableVersion{Table: name, Version: version, Whole: whole})
+		}
 	}
 	answer, err := c.gossiper.Call(ctx, address, &framer.Envelope{Body: &framer.Envelope_Sync{Sync: offer}})
 	if err != nil {
@@ -331,7 +333,9 @@
 		if f == nil {
 			continue
 		}
-		page := follower.Page{Version: t.Version, Age: time.Duration(t.AgeMilliseconds) * time.Millisecond}
+		page := follower.Page{
+			Version: t.Version, Floor: t.Floor, Age: time.Duration(t.AgeMilliseconds) * time.Millisecond,
+		}
 		for _, r := range t.Rows {
 			page.Rows = append(page.Rows, follower.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 		}
@@ -364,11 +368,13 @@
 		if f == nil {
 			continue
 		}
-		page, whole, ok := f.Since(t.Version)
+		page, whole, ok := f.Since(t.Version, t.Whole)
 		if !ok {
 			continue
 		}
-		rows := &framer.TableRows{Table: t.Table, Version: page.Version, Whole: whole, AgeMilliseconds: page.Age.Milliseconds()}
+		rows := &framer.TableRows{
+			Table: t.Table, Version: page.Version, Whole: whole, Floor: page.Floor, AgeMilliseconds: page.Age.Milliseconds(),
+		}
 		for _, r := range page.Rows {
 			rows.Rows = append(rows.Rows, &framer.TableRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 		}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -10,6 +10,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -29,6 +30,9 @@
 	// ends within the bounds of the platform (2 s).
 	staleAfter = 1700 * time.Millisecond
 	idlePause  = 100 * time.Millisecond
+	// firstWithin is how long a first read of the store may take before other hosts
+	// are asked too. A store that answers needs some milliseconds.
+	firstWithin = 300 * time.Millisecond
 	// tombstones bounds the remembered deletions. A host that lacks older ones
 	// gets the whole table.
 	tombstones = 4096
@@ -43,11 +47,13 @@
 }
 
 // Page is a part of a table, or the whole, as of a version of the store that the
-// store confirmed some time ago.
+// store confirmed some time ago. A whole page lists all deletions after Floor, and
+// none if Floor is 0.
 type Page struct {
 	Rows    []Row
 	Version uint64
 	Age     time.Duration
+	Floor   uint64
 }
 
 // Source reads the store. Changes waits for the first change for a bounded time
@@ -78,12 +84,22 @@
 
 	mu      sync.Mutex
 	rows    map[string]Row
+	deleted int    // rows that are deletions
+	newest  uint64 // highest version of a row
 	version uint64
-	floor   uint64 // all deletions after this version are among the rows
+	floor   uint64 // all deletions after this version are among the rows,
+	gap     gap    // but for those in the gap
 	heard   time.Time
+	begun   time.Time // of the first read of the store
 	failing bool
 }
 
+// gap is a span of versions, without its ends. A copy of a version inside may hold
+// rows whose deletion this copy has not seen.
+type gap struct{ low, high uint64 }
+
+func (g gap) holds(version uint64) bool { return g.low < version && version < g.high }
+
 // New returns an empty copy of a table. Period is the least time between two
 // calls to the store.
 func New(table string, s Source, period time.Duration, w Watcher) *Follower {
@@ -113,6 +129,9 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := pauseFirst
+	f.mu.Lock()
+	f.begun = time.Now()
+	f.mu.Unlock()
 	for ctx.Err() == nil {
 		begun := time.Now()
 		if f.idle(begun) {
@@ -199,9 +218,7 @@
 
 // apply changes the copy and returns the rows that are new. Called with mu held.
 func (f *Follower) apply(p Page, whole bool) (changed []Row) {
-	listed := make(map[string]bool, len(p.Rows))
 	for _, r := range p.Rows {
-		listed[r.Key] = true
 		old, ok := f.rows[r.Key]
 		if ok && old.Version >= r.Version {
 			continue
@@ -210,63 +227,96 @@
 		if ok && f.same != nil && !old.Deleted && !r.Deleted && f.same(old.Value, r.Value) {
 			continue // nothing that another host lacks
 		}
-		f.rows[r.Key] = r
+		f.store(r)
 	}
 	if whole {
-		changed = append(changed, f.drop(listed, p.Version)...)
+		changed = append(changed, f.drop(p)...)
+	}
+	if f.deleted > tombstones {
+		f.forget(p.Version)
 	}
-	f.forget(p.Version)
 	return changed
 }
 
-// drop removes the rows that a whole page does not list and returns them as
-// deleted. Called with mu held.
-func (f *Follower) drop(listed map[string]bool, version uint64) (gone []Row) {
+// store takes over a row. Called with mu held.
+func (f *Follower) store(r Row) {
+	if old, ok := f.rows[r.Key]; ok && old.Deleted {
+		f.deleted--
+	}
+	if r.Deleted {
+		f.deleted++
+	}
+	f.rows[r.Key] = r
+	f.newest = max(f.newest, r.Version)
+}
+
+// drop deletes the rows that a whole page does not list and returns them. Rows
+// that came and went since the copy's version may be unknown to it. Called with
+// mu held.
+func (f *Follower) drop(p Page) (gone []Row) {
+	listed := make(map[string]bool, len(p.Rows))
+	for _, r := range p.Rows {
+		listed[r.Key] = true
+	}
 	for key, r := range f.rows {
-		if listed[key] || r.Version > version {
+		if r.Deleted || listed[key] || r.Version > p.Version {
 			continue
 		}
-		if !r.Deleted {
-			gone = append(gone, Row{Key: key, Version: version, Deleted: true})
-		}
-		delete(f.rows, key)
+		gone = append(gone, Row{Key: key, Version: p.Version, Deleted: true})
+	}
+	for _, r := range gone {
+		f.store(r)
+	}
+	known := cmp.Or(p.Floor, p.Version)
+	switch {
+	case f.version == 0:
+		f.floor = known
+	case known > f.version:
+		f.gap = gap{min(cmp.Or(f.gap.low, f.version), f.version), p.Version}
 	}
-	f.floor = version
 	return gone
 }
 
-// forget drops the deletions once there are many. Called with mu held.
+// forget drops the deletions. Called with mu held.
 func (f *Follower) forget(version uint64) {
-	var deleted []string
 	for key, r := range f.rows {
 		if r.Deleted {
-			deleted = append(deleted, key)
+			delete(f.rows, key)
 		}
 	}
-	if len(deleted) <= tombstones {
-		return
-	}
-	for _, key := range deleted {
-		delete(f.rows, key)
-	}
-	f.floor = version
+	f.deleted, f.floor, f.gap = 0, version, gap{}
+}
+
+// Asks returns the version for which another host is asked, and whether the whole
+// table is wanted if that host does not know all changes since. Only a copy that
+// the store does not bring forward wants a whole table, since that is long. ok is
+// false while a first read of the store is under way.
+func (f *Follower) Asks() (version uint64, whole, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	late := f.version == 0 && !f.begun.IsZero() && time.Since(f.begun) > firstWithin
+	whole = f.failing || late
+	return f.version, whole, f.version > 0 || whole
 }
 
-// Since returns what a copy of the version lacks, and whether the page is the
-// whole table. If the other copy is newer, or this one is empty, ok is false.
-func (f *Follower) Since(version uint64) (page Page, whole, ok bool) {
+// Since returns what a copy of the version lacks: the changes, or the whole table
+// if that is wanted and the changes are not known. If this copy does not help, ok
+// is false.
+func (f *Follower) Since(version uint64, wanted bool) (page Page, whole, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.version < version || f.version == 0 {
+	whole = version < f.floor || version == 0 || f.gap.holds(version)
+	if f.version < version || f.version == 0 || (whole && !wanted) {
 		return Page{}, false, false
 	}
 	page.Version, page.Age = f.version, time.Since(f.heard)
-	if f.version == version {
+	if whole {
+		page.Floor = max(f.floor, f.gap.high)
+	} else if f.newest <= version {
 		return page, false, true
 	}
-	whole = version < f.floor || version == 0
 	for _, r := range f.rows {
-		if r.Version > version || (whole && !r.Deleted) {
+		if whole || r.Version > version {
 			page.Rows = append(page.Rows, r)
 		}
 	}
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -153,7 +154,7 @@
 		f.Merge(p, true)
 	}
 	pass := func(from, to *follower.Follower) {
-		if p, whole, ok := from.Since(to.Version()); ok {
+		if p, whole, ok := from.Since(to.Version(), true); ok {
 			to.Merge(p, whole)
 		}
 	}
@@ -180,6 +181,91 @@
 	assert.Equal(t, second.String(), "map[c:3]")
 }
 
+// Guards against whole tables that hosts send each other while changes would do:
+// with 298 hosts and 3,002 upstreams each host sent 583 KB a second. Hosts start at
+// slightly different versions, and a host that reads the whole table anew, because
+// the store dropped its history, must not send it to all that lag behind it.
+func TestWholeTablesAreRare(t *testing.T) {
+	const hosts, rounds = 40, 300
+	s, rng := newStore(), rand.New(rand.NewPCG(1, 2))
+	s.put("a", "1")
+	s.put("b", "2")
+	var copies []*follower.Follower
+	var tables []*table
+	for i := range hosts {
+		s.put("heartbeat", fmt.Sprint(i))
+		w := newTable()
+		f := follower.New("t", s, 0, w)
+		p, err := s.Read(t.Context(), "t")
+		assert.NilError(t, err)
+		f.Merge(p, true)
+		copies, tables = append(copies, f), append(tables, w)
+	}
+	wholes := 0
+	for round := range rounds {
+		s.put("heartbeat", fmt.Sprint(round))
+		switch round {
+		case 100:
+			s.put("a", "") // a host that reads changes sees it go
+		case 200:
+			s.put("b", "") // gone in the whole table
+		}
+		p, err := s.Changes(t.Context(), "t", copies[0].Version())
+		whole := round == 200
+		if whole {
+			p, err = s.Read(t.Context(), "t")
+		}
+		assert.NilError(t, err)
+		copies[0].Merge(p, whole)
+		for i := range copies {
+			from, to := copies[rng.IntN(hosts)], copies[i]
+			version, wanted, _ := to.Asks()
+			if p, whole, ok := from.Since(version, wanted); ok {
+				to.Merge(p, whole)
+				if whole {
+					wholes++
+				}
+			}
+		}
+	}
+	assert.Equal(t, wholes, 0)
+	for i, w := range tables {
+		w.mu.Lock()
+		delete(w.rows, "heartbeat")
+		left := len(w.rows)
+		w.mu.Unlock()
+		assert.Equal(t, left, 0, "host %d: %v", i, w)
+	}
+}
+
+// Guards against deletions that a copy has not seen and passes over: only a copy
+// of a version before or after those gets changes, the others get the whole table.
+func TestWholeTableFillsAGap(t *testing.T) {
+	s := newStore()
+	s.put("a", "1")
+	first, second := newTable(), newTable()
+	reader, other := follower.New("t", s, 0, first), follower.New("t", s, 0, second)
+	read := func(f *follower.Follower) {
+		p, err := s.Read(t.Context(), "t")
+		assert.NilError(t, err)
+		f.Merge(p, true)
+	}
+	read(reader)
+	s.put("b", "2")
+	read(other) // knows b, which the reader never sees
+	s.put("b", "")
+	s.put("c", "3")
+	read(reader)
+	_, _, ok := reader.Since(other.Version(), false)
+	assert.Assert(t, !ok)
+	p, whole, ok := reader.Since(other.Version(), true)
+	assert.Assert(t, ok && whole)
+	other.Merge(p, whole)
+	assert.Equal(t, second.String(), "map[a:1 c:3]")
+	p, whole, ok = reader.Since(1, false)
+	assert.Assert(t, ok && !whole && len(p.Rows) == 1, "%+v", p)
+}
+
 // Guards against an answer that was overtaken and brings old rows back.
 func TestOldPagesChangeNothing(t *testing.T) {
 	w := newTable()
@@ -203,12 +289,12 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go reader.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
-		p, whole, _ := reader.Since(0)
+		p, whole, _ := reader.Since(0, true)
 		other.Merge(p, whole)
 		go other.Run(ctx)
 		for range 50 {
 			time.Sleep(400 * time.Millisecond)
-			if p, whole, ok := reader.Since(other.Version()); ok {
+			if p, whole, ok := reader.Since(other.Version(), false); ok {
 				other.Merge(p, whole)
 			}
 		}
@@ -222,3 +308,37 @@
 		assert.Equal(t, other.Version(), uint64(2))
 	})
 }
+
+// Guards against a host that starts during an outage of the store and has to wait
+// for its own calls to fail, and against one that is sent a whole table while its
+// own read is about to end.
+func TestAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.down = errors.New("down")
+		f := follower.New("t", hanging{s}, 0, newTable())
+		_, _, ok := f.Asks()
+		assert.Assert(t, !ok)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		_, _, ok = f.Asks()
+		assert.Assert(t, !ok)
+		time.Sleep(400 * time.Millisecond)
+		_, whole, ok := f.Asks()
+		assert.Assert(t, ok && whole)
+		f.Merge(follower.Page{Version: 7, Floor: 3}, true)
+		version, whole, ok := f.Asks()
+		assert.Assert(t, ok && !whole && version == 7)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// hanging is a store that answers nothing.
+type hanging struct{ *store }
+
+func (hanging) Read(ctx context.Context, _ string) (follower.Page, error) {
+	<-ctx.Done()
+	return follower.Page{}, ctx.Err()
+}
