Move stand-ins, experiments and the baseline out of the product's packages

The packages that run on a host and those that only tests, dev and measure use stood side by side, so that a newcomer could not see the product alone.

--- a/cmd/dandeliontrack/check.go
+++ b/cmd/dandeliontrack/check.go
@@ -7,9 +7,9 @@
 	"io"
 	"os"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
 	"dandeliontrack.example/dandeliontrack/internal/process/parser"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
--- a/cmd/dandeliontrack/dev.go
+++ b/cmd/dandeliontrack/dev.go
@@ -10,7 +10,7 @@
 	"text/tabwriter"
 	"time"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
--- a/cmd/dandeliontrack/measure.go
+++ b/cmd/dandeliontrack/measure.go
@@ -10,7 +10,7 @@
 	"strings"
 	"syscall"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/measurer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/measurer"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
--- a/cmd/dandeliontrack/standin.go
+++ b/cmd/dandeliontrack/standin.go
@@ -13,9 +13,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
-	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
-	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/worker"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
--- a/internal/process/adapter/adapter_test.go
+++ b/internal/process/adapter/adapter_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
-	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
--- a/internal/process/runner/runner_test.go
+++ b/internal/process/runner/runner_test.go
@@ -17,10 +17,10 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
-	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
 	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
 	"dandeliontrack.example/dandeliontrack/internal/process/runner"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 )
 
--- a/internal/process/spreader/fleet_test.go
+++ b/internal/process/spreader/fleet_test.go
@@ -17,9 +17,9 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/linker"
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
-	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
 	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 )
 
--- a/internal/process/spreader/sim_test.go
+++ b/internal/process/spreader/sim_test.go
@@ -15,8 +15,8 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
-	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
 	"dandeliontrack.example/dandeliontrack/internal/process/publisher"
+	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 )
--- a/internal/connection/delayer/delayer_test.go
+++ b/internal/standin/delayer/delayer_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"dandeliontrack.example/dandeliontrack/internal/connection/delayer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/delayer"
 )
 
 var (
--- a/internal/process/deployer/call.go
+++ b/internal/standin/deployer/call.go
@@ -15,7 +15,7 @@
 	"github.com/google/uuid"
 
 	"dandeliontrack.example/dandeliontrack/internal/checker"
-	"dandeliontrack.example/dandeliontrack/internal/connection/delayer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/delayer"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/api"
--- a/internal/process/deployer/deployer.go
+++ b/internal/standin/deployer/deployer.go
@@ -21,9 +21,9 @@
 
 	"dandeliontrack.example/dandeliontrack/examples"
 	"dandeliontrack.example/dandeliontrack/internal/checker"
-	"dandeliontrack.example/dandeliontrack/internal/connection/delayer"
-	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
-	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/delayer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/worker"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/api"
--- a/internal/process/deployer/deployer_test.go
+++ b/internal/standin/deployer/deployer_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/checker"
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
-	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/worker"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
--- a/internal/process/deployer/description.go
+++ b/internal/standin/deployer/description.go
@@ -5,8 +5,8 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/parser"
-	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
-	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/worker"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
--- a/internal/process/deployer/host.go
+++ b/internal/standin/deployer/host.go
@@ -13,10 +13,10 @@
 
 	"dandeliontrack.example/dandeliontrack/examples"
 	"dandeliontrack.example/dandeliontrack/internal/checker"
-	"dandeliontrack.example/dandeliontrack/internal/connection/delayer"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/runner"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
+	"dandeliontrack.example/dandeliontrack/internal/standin/delayer"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/pkg/api"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
--- a/internal/process/deployer/tour_test.go
+++ b/internal/standin/deployer/tour_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/worker"
 )
 
 // Guards against tour steps that report a promise as kept whatever happens: the
--- a/internal/process/faulter/case_test.go
+++ b/internal/standin/faulter/case_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/checker"
-	"dandeliontrack.example/dandeliontrack/internal/process/platformer"
-	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/worker"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 )
 
--- a/internal/process/faulter/cells.go
+++ b/internal/standin/faulter/cells.go
@@ -24,7 +24,7 @@
 }
 
 // whole is the test that causes a fault at a step in a fleet of whole hosts.
-var whole = Test{"internal/process/faulter", "TestEveryFaultAtEveryStep"}
+var whole = Test{"internal/standin/faulter", "TestEveryFaultAtEveryStep"}
 
 // These tests cause faults at parts of a host.
 var (
@@ -39,8 +39,8 @@
 	spreaderRandom  = Test{"internal/process/spreader", "TestRandomSchedulesConverge"}
 	spreaderNoStore = Test{"internal/process/spreader", "TestSpreadWithoutStore"}
 	spreaderNewHost = Test{"internal/process/spreader", "TestNewHostWithoutStore"}
-	routerFaults    = Test{"internal/request/naive", "TestFaults"}
-	routerLoads     = Test{"internal/request/naive", "TestMisleadingLoads"}
+	routerFaults    = Test{"internal/standin/naive", "TestFaults"}
+	routerLoads     = Test{"internal/standin/naive", "TestMisleadingLoads"}
 	routerRegion    = Test{"internal/request/router", "TestRegionOfRequest"}
 	routerPassed    = Test{"internal/request/router", "TestUpstreamsPassedOver"}
 	gaugerAges      = Test{"internal/process/gauger", "TestAges"}
@@ -140,19 +140,19 @@
 
 const head = `# Faults and steps
 
-<!-- Generated from internal/process/faulter. Regenerate with
-WRITE_PAGE=1 go test -run TestPage ./internal/process/faulter -->
+<!-- Generated from internal/standin/faulter. Regenerate with
+WRITE_PAGE=1 go test -run TestPage ./internal/standin/faulter -->
 
 For each fault of the design (1.4) and each step, this page names the tests that
 cause the fault at the step, or says why it cannot occur there, or names the
 entry in KNOWN-RED.txt. "fleet" is TestEveryFaultAtEveryStep in
-internal/process/faulter: three whole hosts with their own clocks of one bubble
+internal/standin/faulter: three whole hosts with their own clocks of one bubble
 of testing/synctest, six upstreams, the platform and three callers, in which the
 fault begins when the step is reached; the checker judges all eight promises.
 
 CI runs the fleet without the race detector, with which it takes too long: 15
 cells and 10 pairs of faults, drawn by a fixed seed, and the mechanisms off.
-MATRIX=all go test -run TestEveryFault ./internal/process/faulter runs all of
+MATRIX=all go test -run TestEveryFault ./internal/standin/faulter runs all of
 them, one fault after the other; it takes minutes.
 
 What the fleet does not show: all its processes share one clock, and a paused
--- a/internal/process/faulter/cells_test.go
+++ b/internal/standin/faulter/cells_test.go
@@ -70,5 +70,5 @@
 	}
 	page, err := os.ReadFile(path)
 	assert.NilError(t, err)
-	assert.Assert(t, string(page) == Page(), "docs/faults.md differs: run WRITE_PAGE=1 go test -run TestPage ./internal/process/faulter")
+	assert.Assert(t, string(page) == Page(), "docs/faults.md differs: run WRITE_PAGE=1 go test -run TestPage ./internal/standin/faulter")
 }
--- a/internal/process/faulter/network_test.go
+++ b/internal/standin/faulter/network_test.go
@@ -7,7 +7,7 @@
 	"sync"
 	"syscall"
 
-	"dandeliontrack.example/dandeliontrack/internal/connection/delayer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/delayer"
 )
 
 // process is what opens sockets: a host, an upstream, the platform or a client.
--- a/internal/process/measurer/baseline.go
+++ b/internal/standin/measurer/baseline.go
@@ -12,11 +12,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dandeliontrack.example/dandeliontrack/internal/connection/delayer"
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
-	"dandeliontrack.example/dandeliontrack/internal/request/naive"
 	"dandeliontrack.example/dandeliontrack/internal/request/router"
+	"dandeliontrack.example/dandeliontrack/internal/standin/delayer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/naive"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 )
 
--- a/internal/process/measurer/experiment.go
+++ b/internal/standin/measurer/experiment.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
 	"dandeliontrack.example/dandeliontrack/internal/process/parser"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
--- a/internal/process/measurer/fault.go
+++ b/internal/standin/measurer/fault.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/worker"
 )
 
 // detectTime is how long callers go on using the hosts of a lost region: the
--- a/internal/process/measurer/measurer.go
+++ b/internal/standin/measurer/measurer.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/checker"
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
--- a/internal/process/measurer/measurer_test.go
+++ b/internal/standin/measurer/measurer_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
--- a/internal/process/measurer/record.go
+++ b/internal/standin/measurer/record.go
@@ -9,8 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"dandeliontrack.example/dandeliontrack/internal/connection/delayer"
-	"dandeliontrack.example/dandeliontrack/internal/process/deployer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/delayer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/deployer"
 )
 
 // Result is what one system did, or the medians of several runs of it. Latencies
--- a/internal/process/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -16,7 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/worker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/worker"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 )
 
