Trust idle connections less after upstreams forgot some

Upstreams drop connections after 0.16 s of idleness without a notice (idle_race), and reset what is sent next; an order may have run then and is not sent again.

Ruled out: crashes (they reset requests at work, later than one way there and back), connections beyond the announced idle time (none are kept).

Change: a reset that comes at once on a connection that was idle halves the trusted idle time of the upstream's connections, and of all if three upstreams do so within 2 s. The trust doubles every 2 s.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -45,6 +45,8 @@
 	br     *bufio.Reader
 	since  time.Time // when it became idle
 	idle   time.Duration
+	way    time.Duration // that opening it took
+	rested time.Duration // that it was idle before this request
 	used   bool
 	answer *http.Response
 }
@@ -95,6 +97,7 @@
 	defer heads.Put(head)
 	head.Reset()
 	writeHead(head, r)
+	begun := time.Now()
 	n, err := c.conn.Write(head.Bytes())
 	if err != nil {
 		if n == 0 {
@@ -106,6 +109,7 @@
 	for range skipMost {
 		answer, err := c.read(r)
 		if err != nil {
+			c.suspect(note(err), begun)
 			return nil, classifier.Failed.Wrap(note(err), "upstream "+c.address())
 		}
 		if c.sender.options.Own(r.Header, answer.Header) {
@@ -121,6 +125,15 @@
 	return nil, classifier.Crossed.New("upstream %s answered another request", c.address())
 }
 
+// suspect finds out whether the upstream had forgotten the connection: it was idle
+// before, and was reset as soon as the request arrived.
+func (c *Conn) suspect(err error, begun time.Time) {
+	if errors.Is(err, errTimeout) || c.rested < restLeast || time.Since(begun) > c.way+earlyMargin {
+		return
+	}
+	c.sender.forgot(c)
+}
+
 // errTimeout marks an error of a deadline.
 var errTimeout = errors.New("no answer before the deadline")
 
--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -57,12 +57,16 @@
 type Sender struct {
 	options Options
 	groups  sync.Map // address to *group
+	trust   trust    // in the connections to all upstreams
+	panel   panel
 	opened  atomic.Int64
 	stop    chan struct{}
 	once    sync.Once
 }
 
 type group struct {
+	trust trust
+
 	mu   sync.Mutex
 	idle []*Conn // the last one was used last
 	gone bool
@@ -99,8 +103,11 @@
 // kind Unreachable or Expired, and nothing was sent.
 func (s *Sender) Get(ctx context.Context, address string) (*Conn, error) {
 	g := s.group(address)
-	for c := g.take(); c != nil; c = g.take() {
+	now := time.Now()
+	trusted := min(g.trust.most(now), s.trust.most(now))
+	for c := g.take(trusted); c != nil; c = g.take(trusted) {
 		if c.usable() {
+			c.rested = now.Sub(c.since)
 			return c, nil
 		}
 		_ = c.conn.Close()
@@ -108,6 +115,7 @@
 	opened, cancel := context.WithTimeout(ctx, s.options.Open)
 	defer cancel()
 	s.opened.Add(1)
+	begun := time.Now()
 	raw, err := s.options.Dial(opened, "tcp", address)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -115,10 +123,23 @@
 		}
 		return nil, classifier.Unreachable.Wrap(err, "upstream "+address)
 	}
-	return newConn(s, g, raw), nil
+	c := newConn(s, g, raw)
+	c.way = time.Since(begun)
+	return c, nil
+}
+
+// forgot notes that an upstream reset a connection after it had been idle.
+func (s *Sender) forgot(c *Conn) {
+	now := time.Now()
+	c.group.trust.reduce(c.rested, now)
+	if s.panel.agrees(c.address(), now) {
+		s.trust.reduce(c.rested, now)
+	}
 }
 
-func (g *group) take() *Conn {
+// take returns the connection that was used last, or nil if it was idle for longer
+// than trusted.
+func (g *group) take(trusted time.Duration) *Conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := len(g.idle)
@@ -126,6 +147,9 @@
 		return nil
 	}
 	c := g.idle[n-1]
+	if time.Since(c.since) > trusted {
+		return nil
+	}
 	g.idle[n-1] = nil
 	g.idle = g.idle[:n-1]
 	return c
--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -68,6 +68,29 @@
 	return s
 }
 
+// Guards against requests that are lost on connections that the upstream forgot: on
+// a grown day 1.2 in 100 requests, most of them orders, were reset after 0.16 s of
+// idleness, one after the other.
+func TestForgottenConnectionsAreNotTrusted(t *testing.T) {
+	ok := answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	address, _ := upstream(t, ok, ok, cut(""), ok, ok)
+	s := newSender(t)
+	get := func(id string) error {
+		_, err := do(t, s, address, id)
+		return err
+	}
+	assert.NilError(t, get("1"))
+	assert.NilError(t, get("2"))
+	time.Sleep(150 * time.Millisecond)
+	assert.Equal(t, classifier.Of(get("3")), classifier.Failed)
+	assert.Equal(t, s.Opened(), int64(1))
+	assert.NilError(t, get("4"))
+	assert.Equal(t, s.Opened(), int64(2))
+	time.Sleep(400 * time.Millisecond)
+	assert.NilError(t, get("5"))
+	assert.Equal(t, s.Opened(), int64(3))
+}
+
 func do(t *testing.T, s *sender.Sender, address, id string) (string, error) {
 	t.Helper()
 	c, err := s.Get(t.Context(), address)
