--- a/internal/connection/pool/group.go
+++ b/internal/connection/pool/group.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/time/rate"
 
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -292,11 +293,7 @@
 	// The jitter keeps hosts that lost their connections together from dialing in
 	// step. It comes before the token, so that it cannot pack dials closer than
 	// the budget allows.
-	pause := time.NewTimer(rand.N(time.Second / dialsPerSecond))
-	defer pause.Stop()
-	select {
-	case <-pause.C:
-	case <-ctx.Done():
+	if !sleeper.Sleep(ctx, rand.N(time.Second/dialsPerSecond)) {
 		return ctx.Err()
 	}
 	return g.tokens.Wait(ctx)
--- a/internal/process/claimer/claimer.go
+++ b/internal/process/claimer/claimer.go
@@ -26,6 +26,7 @@
 	"github.com/google/uuid"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -166,10 +167,8 @@
 	ctx, cancel := context.WithTimeout(ctx, budgetWait)
 	defer cancel()
 	for !c.budget.Allow(time.Now(), writesPerClaim) {
-		select {
-		case <-ctx.Done():
+		if !sleeper.Sleep(ctx, budgetPoll) {
 			return false
-		case <-time.After(budgetPoll):
 		}
 	}
 	return true
@@ -260,14 +259,7 @@
 func (a *attempt) sleep(ctx context.Context) bool {
 	wait := a.poll/2 + rand.N(a.poll)
 	a.poll = min(2*a.poll, lastPoll)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return ctx.Err() == nil
-	}
+	return sleeper.Sleep(ctx, wait)
 }
 
 func (c *Claimer) isUnused(id string) bool {
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -26,10 +26,10 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
-	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 )
 
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -16,7 +16,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
-	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 )
 
@@ -53,7 +54,7 @@
 		gap := period / time.Duration(max(len(ups), 1))
 		start := time.Now()
 		for i, u := range ups {
-			if !sleepUntil(ctx, start.Add(time.Duration(i)*gap)) {
+			if !sleeper.Sleep(ctx, time.Until(start.Add(time.Duration(i)*gap))) {
 				return
 			}
 			if _, busy := p.busy.LoadOrStore(u.Name(), true); busy {
@@ -64,18 +65,7 @@
 				p.probe(ctx, u)
 			})
 		}
-		sleepUntil(ctx, start.Add(period))
-	}
-}
-
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+		sleeper.Sleep(ctx, time.Until(start.Add(period)))
 	}
 }
 
--- a/internal/process/publisher/publisher.go
+++ b/internal/process/publisher/publisher.go
@@ -22,6 +22,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/holder"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
@@ -218,14 +219,8 @@
 
 // pause waits with full jitter before the attempt.
 func pause(ctx context.Context, attempt int) error {
-	timer := time.NewTimer(rand.N(minPause << attempt))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	sleeper.Sleep(ctx, rand.N(minPause<<attempt))
+	return ctx.Err()
 }
 
 // readHead returns the accepted version in the store.
--- a/internal/process/runner/peers.go
+++ b/internal/process/runner/peers.go
@@ -12,8 +12,8 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
-	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/request/finder"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
--- a/internal/process/runner/stop.go
+++ b/internal/process/runner/stop.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
-	"dandeliontrack.example/dandeliontrack/internal/process/sleeper"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 )
 
 const (
