Keep the order of hosts for a cold upstream until the hosts change

Cause: listed in CAPACITY.md as not fitting 5,500 hosts: each look at a cold upstream hashed the names of all hosts, and every live member was copied four times a second so that forgotten ones leave the view.

Change: the place of the host is kept by upstream; the view is renewed by changes, and every 5 s for members that are forgotten.

Test: TestPlaceFollowsTheHosts.

--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -203,13 +203,17 @@
 
 // tick brings the demand and the plans forward.
 func (c *Conductor) tick(ctx context.Context) {
+	viewed := time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
 		c.surveyor.Tick(now, func(service string) time.Duration {
 			_, warm := c.ranker.Works(service)
 			return warm
 		})
-		c.changes.Add(1) // members that are forgotten are not told
+		if now.Sub(viewed) > viewPeriod {
+			c.changes.Add(1) // members that are forgotten are not told
+			viewed = now
+		}
 		var names []string
 		live := c.live()
 		for _, m := range live {
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -12,6 +12,9 @@
 	// return at once.
 	upstreamPeriod = 700 * time.Millisecond
 	tickPeriod     = 250 * time.Millisecond
+	// viewPeriod is the longest time that a forgotten member stays in the view. It
+	// only makes the parts of the other hosts smaller.
+	viewPeriod = 5 * time.Second
 	// milli is the unit in which hosts tell each other their power.
 	milli = 1000
 	// exchangePeriod is the mean time between two exchanges with other hosts. In
--- a/internal/process/feeder/feeder.go
+++ b/internal/process/feeder/feeder.go
@@ -8,6 +8,7 @@
 package feeder
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	// unknown is the number of hosts that is assumed before any is known. It is
 	// the size of the largest fleet in use, rounded up.
 	unknown = 100
+	// placesMost bounds the upstreams for which the place is kept.
+	placesMost = 4096
 )
 
 // Limit is what all hosts together may send to a cold upstream in one second:
@@ -39,14 +42,18 @@
 	name  string
 	start time.Time
 
-	mu       sync.RWMutex
+	mu       sync.Mutex
 	limit    Limit
 	live     []string
 	recorded []string
 	unheard  []string // recorded, not live
 	read     bool
+	places   map[string]place // by upstream, since the hosts changed
 }
 
+// place counts the hosts before this one in the order for an upstream.
+type place struct{ live, unheard int }
+
 // New returns the view of a host that starts at the given time.
 func New(name string, l Limit, start time.Time) *Feeder {
 	return &Feeder{name: name, limit: l, start: start}
@@ -63,8 +70,10 @@
 func (f *Feeder) Live(names []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.live = names
-	f.compare()
+	if !slices.Equal(names, f.live) {
+		f.live = names
+		f.compare()
+	}
 }
 
 // Recorded sets the hosts that are recorded in the store.
@@ -82,6 +91,7 @@
 	for _, name := range f.live {
 		live[name] = true
 	}
+	clear(f.places)
 	f.unheard = nil
 	for _, name := range f.recorded {
 		if name != f.name && !live[name] {
@@ -93,8 +103,8 @@
 // Hosts returns how many hosts share a limit, at least 1, given those that the
 // membership knows.
 func (f *Feeder) Hosts(known int, now time.Time) int {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	switch {
 	case now.Sub(f.start) >= settle:
 		return max(known, 1)
@@ -108,26 +118,18 @@
 // Rate returns how many requests per second this host may send to a cold
 // upstream that bears perSecond, evenly spaced; 0 for none.
 func (f *Feeder) Rate(upstream string, perSecond float64, now time.Time) float64 {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	starting := now.Sub(f.start) < settle
 	if starting && !f.read {
 		return 0
 	}
 	most := perSecond*f.limit.Factor + f.limit.Slack
 	feeders := max(1, int(burst*most))
-	own, ahead := order(f.name, upstream), 0
-	for _, name := range f.live {
-		if order(name, upstream) > own {
-			ahead++
-		}
-	}
+	at := f.place(upstream)
+	ahead := at.live
 	if starting {
-		for _, name := range f.unheard {
-			if order(name, upstream) > own {
-				ahead++
-			}
-		}
+		ahead += at.unheard
 	}
 	if ahead >= feeders {
 		return 0
@@ -135,7 +137,34 @@
 	return steady * most / float64(feeders)
 }
 
-// order returns the place of a host in the order for an upstream.
+// place returns the place of this host, which is kept until the hosts change. Called
+// with mu held.
+func (f *Feeder) place(upstream string) place {
+	p, ok := f.places[upstream]
+	if ok {
+		return p
+	}
+	own := order(f.name, upstream)
+	p = place{before(own, f.live, upstream), before(own, f.unheard, upstream)}
+	if f.places == nil || len(f.places) >= placesMost {
+		f.places = make(map[string]place)
+	}
+	f.places[upstream] = p
+	return p
+}
+
+// before counts the hosts whose value for an upstream is above own.
+func before(own uint64, hosts []string, upstream string) int {
+	n := 0
+	for _, name := range hosts {
+		if order(name, upstream) > own {
+			n++
+		}
+	}
+	return n
+}
+
+// order returns the value by which hosts are ordered for an upstream.
 func order(host, upstream string) uint64 {
 	var room [128]byte // names of hosts and upstreams are shorter
 	return xxhash.Sum64(append(append(append(room[:0], host...), '/'), upstream...))
--- a/internal/process/feeder/feeder_test.go
+++ b/internal/process/feeder/feeder_test.go
@@ -74,3 +74,42 @@
 	assert.Equal(t, f.Hosts(5, start), 5)
 	assert.Equal(t, f.Hosts(1, start.Add(time.Minute)), 1)
 }
+
+// Guards against a place in the order that is kept although the hosts changed: the
+// feeder of a cold upstream is gone and nobody takes its part, or two do.
+func TestPlaceFollowsTheHosts(t *testing.T) {
+	start := time.Now()
+	later := start.Add(time.Minute)
+	limit := feeder.Limit{Factor: 1, Slack: 0}
+	a, b := feeder.New("a", limit, start), feeder.New("b", limit, start)
+	a.Live([]string{"b"})
+	b.Live([]string{"a"})
+	first, second := a, b
+	if b.Rate("u", 4, later) > 0 {
+		first, second = b, a
+	}
+	assert.Assert(t, first.Rate("u", 4, later) > 0)
+	assert.Equal(t, second.Rate("u", 4, later), 0.0)
+	second.Live(nil)
+	assert.Assert(t, second.Rate("u", 4, later) > 0)
+}
+
+// BenchmarkRate measures one look at a cold upstream with the hosts of today, of the
+// largest sweep and of the target.
+func BenchmarkRate(b *testing.B) {
+	for _, n := range []int{12, 298, 5500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Now()
+			f := feeder.New("self", feeder.Limit{Factor: 1.5, Slack: 5}, now.Add(-time.Hour))
+			var names []string
+			for i := range n {
+				names = append(names, fmt.Sprintf("host-%d", i))
+			}
+			f.Live(names)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				f.Rate(fmt.Sprintf("u%d", i%40), 19, now)
+			}
+		})
+	}
+}
