--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -63,6 +63,37 @@
 	return answer, nil
 }
 
+// newNetwork returns hosts that know the addresses of all others from the store, and
+// of some that are gone.
+func newNetwork(hosts, gone int) *network {
+	n := &network{hosts: make(map[string]*gossiper.Gossiper)}
+	var addresses []string
+	for i := range hosts + gone {
+		addresses = append(addresses, fmt.Sprint("h", i))
+	}
+	for _, address := range addresses[:hosts] {
+		self := &framer.Member{Name: address, Address: address, Incarnation: 1}
+		n.hosts[address] = gossiper.New(self, n, func() []string { return addresses })
+	}
+	return n
+}
+
+// run lets all hosts run for a time and returns what the members of each are then.
+func (n *network) run(ctx context.Context, d time.Duration) (members []int) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for _, g := range n.hosts {
+		wg.Go(func() { g.Run(ctx) })
+	}
+	time.Sleep(d)
+	for _, g := range n.hosts {
+		members = append(members, len(g.Members()))
+	}
+	cancel()
+	wg.Wait()
+	return members
+}
+
 // Guards against a start at which every host sends all members to all others: with
 // 298 hosts that know each other's addresses from the store it took 3 GB. And
 // against hosts that find each other late, because most of the recorded ones are
@@ -71,32 +102,14 @@
 	for name, c := range map[string]struct{ hosts, gone int }{"all at once": {100, 0}, "most recorded are gone": {40, 60}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n := &network{hosts: make(map[string]*gossiper.Gossiper)}
-				var addresses []string
-				for i := range c.hosts + c.gone {
-					addresses = append(addresses, fmt.Sprint("h", i))
-				}
-				ctx, cancel := context.WithCancel(t.Context())
-				var wg sync.WaitGroup
-				for _, address := range addresses[:c.hosts] {
-					g := gossiper.New(&framer.Member{Name: address, Address: address, Incarnation: 1}, n, func() []string { return addresses })
-					n.hosts[address] = g
-				}
-				for _, g := range n.hosts {
-					wg.Go(func() { g.Run(ctx) })
-				}
-				time.Sleep(10 * time.Second)
-				n.mu.Lock()
-				perHost := n.carried / c.hosts
-				n.mu.Unlock()
-				for _, g := range n.hosts {
-					assert.Equal(t, len(g.Members()), c.hosts-1)
+				n := newNetwork(c.hosts, c.gone)
+				for _, known := range n.run(t.Context(), 10*time.Second) {
+					assert.Equal(t, known, c.hosts-1)
 				}
 				// A full exchange carries all members twice at most.
-				assert.Assert(t, perHost <= 2*16*c.hosts, "%d members a host", perHost)
+				perHost := n.carried / c.hosts
 				t.Logf("%d members a host", perHost)
-				cancel()
-				wg.Wait()
+				assert.Assert(t, perHost <= 2*16*c.hosts, "%d members a host", perHost)
 			})
 		})
 	}
