--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -56,16 +56,16 @@
 // concurrent use.
 type Sender struct {
 	options Options
-	groups  sync.Map // address to *group
-	trust   trust    // in the connections to all upstreams
-	panel   panel
+	groups  sync.Map  // address to *group
+	bound   idleBound // of the connections to all upstreams
+	quorum  quorum
 	opened  atomic.Int64
 	stop    chan struct{}
 	once    sync.Once
 }
 
 type group struct {
-	trust trust
+	bound idleBound
 
 	mu   sync.Mutex
 	idle []*Conn // the last one was used last
@@ -104,7 +104,7 @@
 func (s *Sender) Get(ctx context.Context, address string) (*Conn, error) {
 	g := s.group(address)
 	now := time.Now()
-	trusted := min(g.trust.most(now), s.trust.most(now))
+	trusted := min(g.bound.most(now), s.bound.most(now))
 	for c := g.take(trusted); c != nil; c = g.take(trusted) {
 		if c.usable() {
 			c.rested = now.Sub(c.since)
@@ -131,9 +131,9 @@
 // forgot notes that an upstream reset a connection after it had been idle.
 func (s *Sender) forgot(c *Conn) {
 	now := time.Now()
-	c.group.trust.reduce(c.rested, now)
-	if s.panel.agrees(c.address(), now) {
-		s.trust.reduce(c.rested, now)
+	c.group.bound.reduce(c.rested, now)
+	if s.quorum.reached(c.address(), now) {
+		s.bound.reduce(c.rested, now)
 	}
 }
 
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -93,14 +93,14 @@
 	Load     float64             // requests there, of all hosts
 	Room     time.Duration       // without an upstream: until one has room
 	Soonest  time.Duration       // without an upstream: until the first answer expected
-	Against  Against             // without an upstream: what excluded the candidates
+	Excluded Excluded            // without an upstream: what excluded the candidates
 }
 
-// Against counts the candidates that were excluded, by reason.
-type Against struct {
+// Excluded counts the candidates that were excluded, by reason.
+type Excluded struct {
 	Queue   int // the queue is longer than the target allows
 	Late    int // no answer is expected before the deadline
-	Strange int // it does not know the object and is too busy to learn it
+	Unknown int // it does not know the object and is too busy to learn it
 	Cold    int // it is cold and got its part
 	Far     int // too many requests left their planned region
 }
@@ -207,7 +207,7 @@
 type candidate struct {
 	Choice
 	cost     time.Duration
-	hope     time.Duration // least time from dispatch to the answer that is likely enough
+	least    time.Duration // least time from dispatch to the answer that is likely enough
 	doubtful bool          // it fails requests, is much slower than its peers, or cold
 }
 
@@ -237,13 +237,13 @@
 	}
 	if best.Upstream == nil {
 		if s.other.Upstream != nil {
-			s.against.Far++
+			s.excluded.Far++
 		}
-		return Choice{Room: max(0, s.room), Soonest: s.soonest, Against: s.against}
+		return Choice{Room: max(0, s.room), Soonest: s.soonest, Excluded: s.excluded}
 	}
 	if best.Upstream.Cold(now) && !best.Upstream.TakeCold(now, q.ColdRate(best.Upstream)) {
-		s.against.Cold++
-		return Choice{Room: warm, Soonest: best.Wait + best.Work, Against: s.against}
+		s.excluded.Cold++
+		return Choice{Room: warm, Soonest: best.Wait + best.Work, Excluded: s.excluded}
 	}
 	return best.Choice
 }
@@ -254,7 +254,7 @@
 	room           time.Duration // least time until a candidate has room
 	soonest        time.Duration // least time until a candidate would answer
 	failing        bool          // a candidate of the planned region is doubtful
-	against        Against
+	excluded       Excluded
 }
 
 // consider compares one more candidate with the best so far.
@@ -266,17 +266,17 @@
 	}
 	most := time.Duration(patience * float64(q.Target))
 	s.room = min(s.room, c.Wait-most)
-	s.soonest = min(s.soonest, c.Wait+c.hope)
+	s.soonest = min(s.soonest, c.Wait+c.least)
 	switch {
 	case c.cost >= best.cost:
 	case c.Wait > most:
-		s.against.Queue++
-	case c.Wait+c.hope > q.Left:
-		s.against.Late++
+		s.excluded.Queue++
+	case c.Wait+c.least > q.Left:
+		s.excluded.Late++
 	case !c.taught(now, q.Object):
-		s.against.Strange++
+		s.excluded.Unknown++
 	case !admits(now, q, c.Upstream):
-		s.against.Cold++
+		s.excluded.Cold++
 	default:
 		*best = *c
 	}
@@ -326,7 +326,7 @@
 	}
 	way := r.way(u.Region())
 	c.Work = time.Duration(float64(c.Work)*slow) + way
-	c.hope = time.Duration(float64(likely)*slow) + way
+	c.least = time.Duration(float64(likely)*slow) + way
 	c.cost = time.Duration(float64(work)*slow) + way + c.Wait
 	c.cost += time.Duration(bad * failureCost * float64(cold))
 	c.doubtful = bad > doubtBad || slow > doubtSlow || u.Cold(now)
@@ -336,7 +336,7 @@
 	// A cold upstream takes twice its time, as far as is known.
 	if u.Cold(now) {
 		c.Work += cold
-		c.hope = c.Work
+		c.least = c.Work
 	}
 	return c
 }
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -344,7 +344,7 @@
 			assert.Equal(t, choice.Upstream != nil, c.want)
 			assert.Equal(t, choice.Rank, 0)
 			if !c.want {
-				assert.Assert(t, choice.Against.Late == 3 && choice.Soonest > c.left, "%+v", choice)
+				assert.Assert(t, choice.Excluded.Late == 3 && choice.Soonest > c.left, "%+v", choice)
 			}
 		})
 	}
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -339,10 +339,10 @@
 		o.Meter.Observe(meter.Series{Service: x.service, Class: x.route.Class.String()}, took)
 	}
 	if err != nil {
-		a := x.refusal.Against
+		e := x.refusal.Excluded
 		line.Str("kind", kind.String()).Err(err).Dur("room", x.refusal.Room).
-			Dur("left", x.deadline.Sub(x.call.Arrived)).Dur("soonest", x.refusal.Soonest).Dict("against", zerolog.Dict().
-			Int("queue", a.Queue).Int("late", a.Late).Int("strange", a.Strange).Int("cold", a.Cold).Int("far", a.Far))
+			Dur("left", x.deadline.Sub(x.call.Arrived)).Dur("soonest", x.refusal.Soonest).Dict("excluded", zerolog.Dict().
+			Int("queue", e.Queue).Int("late", e.Late).Int("unknown", e.Unknown).Int("cold", e.Cold).Int("far", e.Far))
 	}
 	attempts := zerolog.Arr()
 	for _, a := range x.attempts {
