Estimate the work of each route, not only of each service

Cause: a request is refused if no answer is expected before its deadline, and the expected time came from all requests of the service.

Now a route without recent answers excludes nothing, and a route whose requests run out of time is refused for 5 s at most before one is tried again. The estimates moved to a package of their own.

--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -6,8 +6,8 @@
 // the upstreams moves few objects. The first in the ranking is left for the next
 // one when it is behind by more than remembering the object saves.
 //
-// A Ranker is pure but for its estimates of how long work takes: time and state
-// come in as arguments.
+// A Ranker is pure but for its estimates of how long work and ways take: time and
+// state come in as arguments.
 package ranker
 
 import (
@@ -17,6 +17,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/request/estimator"
 )
 
 const (
@@ -27,24 +28,14 @@
 	// crossing is what leaving the planned region must save, so that small
 	// differences do not move traffic between regions.
 	crossing = 40 * time.Millisecond
-	// workStep is the part of an estimate of work by which one answer moves it.
-	workStep = 0.1
-	// coldQuantile and warmQuantile are the parts of the answers that are quicker
-	// than the estimates. Answers of objects that this host does not know mix both
-	// kinds of work, because other hosts may have taught them.
-	coldQuantile = 0.8
-	warmQuantile = 0.5
+	// wayStep is the part of an estimate of a way by which one connection moves it.
+	wayStep = 0.1
 	// wayQuantile is low, because a connection opens late for many reasons other
 	// than distance.
 	wayQuantile = 0.2
 	// defaultWay is the assumed time to another region and back, before a
 	// connection was opened there.
 	defaultWay = 60 * time.Millisecond
-	// defaultWork is the estimate of cold work before an answer has shown it.
-	defaultWork = 300 * time.Millisecond
-	// defaultGain is the part of cold work that an upstream saves that
-	// remembers the object, before answers have shown it.
-	defaultGain = 0.5
 	// failureCost is the time that a failed attempt costs the caller, in units
 	// of cold work: detecting it and running again.
 	failureCost = 2.0
@@ -69,6 +60,7 @@
 // Query describes one attempt.
 type Query struct {
 	Group    *registrar.Group
+	Route    string        // of whose requests the time is estimated
 	Regions  []string      // that may serve the request, in a fixed order
 	Weights  []float64     // the planned part of each region
 	Object   uint64        // hash of the object, 0 for none
@@ -109,19 +101,15 @@
 type Ranker struct {
 	region string
 
-	mu    sync.RWMutex
-	works map[string]*work
-	ways  map[string]float64 // to a region and back, in seconds
-}
+	works *estimator.Estimator
 
-type work struct {
-	mu         sync.Mutex
-	cold, warm float64 // seconds
+	mu   sync.RWMutex
+	ways map[string]float64 // to a region and back, in seconds
 }
 
 // New returns a Ranker for a host in a region.
 func New(region string) *Ranker {
-	return &Ranker{region: region, works: make(map[string]*work), ways: make(map[string]float64)}
+	return &Ranker{region: region, works: estimator.New(), ways: make(map[string]float64)}
 }
 
 // Approach records how long it took to open a connection to a region.
@@ -132,7 +120,11 @@
 	if !ok {
 		old = took.Seconds()
 	}
-	r.ways[region] = quantile(old, took.Seconds(), wayQuantile)
+	if took.Seconds() > old {
+		r.ways[region] = min(took.Seconds(), old*(1+wayStep*wayQuantile))
+		return
+	}
+	r.ways[region] = max(took.Seconds(), old*(1-wayStep*(1-wayQuantile)))
 }
 
 // Distance returns the time to a region and back, and whether it was measured.
@@ -155,54 +147,32 @@
 	return way
 }
 
-func (r *Ranker) work(service string) *work {
-	r.mu.RLock()
-	w := r.works[service]
-	r.mu.RUnlock()
-	if w != nil {
-		return w
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if w = r.works[service]; w == nil {
-		w = &work{cold: defaultWork.Seconds(), warm: defaultWork.Seconds() * defaultGain}
-		r.works[service] = w
-	}
-	return w
-}
-
 // Observe records how long an answer took that did not wait at its upstream.
-func (r *Ranker) Observe(service string, warm bool, region string, took time.Duration) {
-	w := r.work(service)
-	took = max(0, took-r.way(region))
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if warm {
-		w.warm = quantile(w.warm, took.Seconds(), warmQuantile)
-	} else {
-		w.cold = quantile(w.cold, took.Seconds(), coldQuantile)
-	}
+func (r *Ranker) Observe(now time.Time, service, route string, warm bool, region string, took time.Duration) {
+	r.works.Answered(now, service, route, warm, max(0, took-r.way(region)))
 }
 
-// quantile moves the estimate of a quantile by one sample, up or down so that it
-// rests where the part q of the samples is below it.
-func quantile(estimate, sample, q float64) float64 {
-	if sample > estimate {
-		return min(sample, estimate*(1+workStep*q))
-	}
-	return max(sample, estimate*(1-workStep*(1-q)))
+// Exceeded records that no answer came within a time.
+func (r *Ranker) Exceeded(now time.Time, service, route, region string, took time.Duration) {
+	r.works.Exceeded(now, service, route, max(0, took-r.way(region)))
 }
 
 // Works returns the estimates of work for a service, without the way there.
-func (r *Ranker) Works(service string) (cold, warm time.Duration) {
-	w := r.work(service)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return seconds(max(w.cold, w.warm/defaultGain)), seconds(w.warm)
-}
+func (r *Ranker) Works(service string) (cold, warm time.Duration) { return r.works.Service(service) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// works are the estimates that one choice uses.
+type works struct {
+	estimator.Work
+	mean time.Duration // of a request in a queue of the service
+}
+
+func (r *Ranker) estimate(now time.Time, service, route string) works {
+	cold, warm := r.works.Service(service)
+	return works{r.works.Route(now, service, route), (cold + warm) / 2}
+}
+
 // candidate is an upstream under comparison.
 type candidate struct {
 	Choice
@@ -215,7 +185,7 @@
 // has room.
 func (r *Ranker) Choose(now time.Time, service string, q *Query) Choice {
 	home := q.home()
-	cold, warm := r.Works(service)
+	w := r.estimate(now, service, q.Route)
 	s := search{planned: candidate{cost: math.MaxInt64}, other: candidate{cost: math.MaxInt64}, room: math.MaxInt64, soonest: math.MaxInt64}
 	for i, region := range q.Regions {
 		n := far
@@ -226,7 +196,7 @@
 			if u == nil || q.tried(u) {
 				continue
 			}
-			c := r.examine(now, u, q.Object, rank, cold, warm)
+			c := r.examine(now, u, q.Object, rank, &w)
 			c.Planned = i == home
 			s.consider(now, q, &c)
 		}
@@ -243,7 +213,7 @@
 	}
 	if best.Upstream.Cold(now) && !best.Upstream.TakeCold(now, q.ColdRate(best.Upstream)) {
 		s.excluded.Cold++
-		return Choice{Room: warm, Soonest: best.Wait + best.Work, Excluded: s.excluded}
+		return Choice{Room: w.Warm, Soonest: best.Wait + best.Work, Excluded: s.excluded}
 	}
 	return best.Choice
 }
@@ -302,41 +272,42 @@
 }
 
 // examine estimates when the upstream would answer.
-func (r *Ranker) examine(now time.Time, u *registrar.Upstream, object uint64, rank int, cold, warm time.Duration) candidate {
+func (r *Ranker) examine(now time.Time, u *registrar.Upstream, object uint64, rank int, w *works) candidate {
 	known := object != 0 && u.Warm(object, now)
-	c := candidate{Choice: Choice{Upstream: u, Rank: rank, Warm: known, Load: u.Load(now), Work: cold}}
+	c := candidate{Choice: Choice{Upstream: u, Rank: rank, Warm: known, Load: u.Load(now), Work: w.Cold}}
 	slow, bad := u.Quality(now)
 	if known {
-		c.Work = warm
+		c.Work = w.Warm
 	}
-	mean := float64(warm+cold) / 2
 	if over := c.Load + 1 - float64(u.Slots()); over > 0 {
-		c.Wait = time.Duration(over * mean * slow / float64(u.Slots()))
+		c.Wait = time.Duration(over * float64(w.mean) * slow / float64(u.Slots()))
 	}
 	// The first in the ranking learns the object for all hosts, so it counts as
-	// if it knew it. With room to learn it gets the object even if cold work would
-	// take too long, or nobody would ever learn it.
+	// if it knew it, even if cold work would take too long: another host has taught
+	// it, or nobody would ever learn it.
 	work := c.Work
 	if rank == 0 && object != 0 {
-		work = warm
+		work = w.Warm
 	}
-	likely := c.Work
-	if c.roomy(now) {
-		likely = work
+	likely := work
+	if !w.Recent {
+		likely = 0 // other routes say nothing about this one's work
 	}
 	way := r.way(u.Region())
 	c.Work = time.Duration(float64(c.Work)*slow) + way
 	c.least = time.Duration(float64(likely)*slow) + way
 	c.cost = time.Duration(float64(work)*slow) + way + c.Wait
-	c.cost += time.Duration(bad * failureCost * float64(cold))
+	c.cost += time.Duration(bad * failureCost * float64(w.Cold))
 	c.doubtful = bad > doubtBad || slow > doubtSlow || u.Cold(now)
 	if u.Full(now) {
-		c.cost += time.Duration(shedCost * float64(cold))
+		c.cost += time.Duration(shedCost * float64(w.Cold))
 	}
 	// A cold upstream takes twice its time, as far as is known.
 	if u.Cold(now) {
-		c.Work += cold
-		c.least = c.Work
+		c.Work += w.Cold
+		if w.Recent {
+			c.least = c.Work
+		}
 	}
 	return c
 }
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -101,7 +101,7 @@
 
 func product(h *host, now time.Time, object uint64) ranker.Choice {
 	return h.ranker.Choose(now, "prices", &ranker.Query{
-		Group: h.registrar.Group("prices"), Regions: []string{"r"}, Weights: []float64{1},
+		Group: h.registrar.Group("prices"), Route: "prices", Regions: []string{"r"}, Weights: []float64{1},
 		Object: object, Draw: h.rng.Uint64(), Left: h.load.deadline, Target: h.load.target,
 		ColdRate: func(*registrar.Upstream) float64 { return 0 },
 	})
@@ -220,7 +220,7 @@
 	u.Warmed(req.object*0x9e3779b97f4a7c15, now)
 	u.Answered(now, float64(took)/float64(max(req.choice.Wait+req.choice.Work, time.Millisecond)))
 	if len(s.queue) == 0 && req.choice.Wait == 0 {
-		h.ranker.Observe("prices", req.choice.Warm, "r", took)
+		h.ranker.Observe(now, "prices", "prices", req.choice.Warm, "r", took)
 	}
 	if took <= l.target {
 		out.inTime++
@@ -324,8 +324,8 @@
 	now := time.Unix(1000, 0)
 	rk := ranker.New("r")
 	for range 200 {
-		rk.Observe("s", false, "r", 3*time.Second)
-		rk.Observe("s", true, "r", 700*time.Millisecond)
+		rk.Observe(now, "s", "quotes", false, "r", 3*time.Second)
+		rk.Observe(now, "s", "quotes", true, "r", 700*time.Millisecond)
 	}
 	for name, c := range map[string]struct {
 		left time.Duration
@@ -339,7 +339,7 @@
 			for _, id := range []string{"a", "b", "c"} {
 				r.Put(registrar.Registration{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, Version: 1}, now, true)
 			}
-			q := ranker.Query{Group: r.Group("s"), Regions: []string{"r"}, Weights: []float64{1}, Object: 7, Left: c.left, Target: time.Second}
+			q := ranker.Query{Group: r.Group("s"), Regions: []string{"r"}, Weights: []float64{1}, Object: 7, Route: "quotes", Left: c.left, Target: time.Second}
 			choice := rk.Choose(now, "s", &q)
 			assert.Equal(t, choice.Upstream != nil, c.want)
 			assert.Equal(t, choice.Rank, 0)
@@ -350,6 +350,39 @@
 	}
 }
 
+// Guards against requests that are refused because requests of other routes of the
+// service take long. On a deployment whose work took 0.9 s, requests of new routes
+// that take 2 ms were refused with a second left, as no answer was expected in time.
+func TestRoutesDiffer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := registrar.New(map[string]string{"z": "r"})
+	r.Put(registrar.Registration{ID: "a", Service: "s", Address: "a", Zone: "z", Slots: 4, Version: 1}, now, true)
+	rk := ranker.New("r")
+	for range 200 {
+		rk.Observe(now, "s", "slow", false, "r", 3*time.Second)
+		rk.Observe(now, "s", "quick", false, "r", 2*time.Millisecond)
+	}
+	rk.Exceeded(now, "s", "endless", "r", 4*time.Second)
+	rk.Exceeded(now, "s", "quick", "r", 4*time.Second)
+	for name, c := range map[string]struct {
+		route string
+		after time.Duration
+		want  bool
+	}{
+		"too slow":               {"slow", 0, false},
+		"quick":                  {"quick", 0, true},
+		"new":                    {"new", 0, true},
+		"exceeded its time":      {"endless", time.Second, false},
+		"exceeded it long since": {"endless", 10 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := ranker.Query{Group: r.Group("s"), Route: c.route, Regions: []string{"r"}, Weights: []float64{1}, Draw: 7, Left: time.Second, Target: time.Second}
+			choice := rk.Choose(now.Add(c.after), "s", &q)
+			assert.Equal(t, choice.Upstream != nil, c.want, "%+v", choice)
+		})
+	}
+}
+
 // Guards against a cold upstream that gets more than this host's part.
 func TestColdUpstreamIsPaced(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -270,6 +270,9 @@
 		a.up.Shed(now, a.signs.Loaded && a.signs.Load.Running < a.signs.Load.Slots)
 	case cause != nil || kind == classifier.TimedOut:
 		a.up.Late(now, float64(a.took)/float64(a.expected()))
+		if !now.Before(a.x.deadline) {
+			a.x.s.o.Ranker.Exceeded(now, a.x.service, a.x.route.Name, a.up.Region(), a.took)
+		}
 	case a.status != 0:
 		a.up.Failed(now)
 	case kind == classifier.Failed || kind == classifier.Truncated:
@@ -285,7 +288,7 @@
 	a.up.Answered(now, float64(a.took)/float64(a.expected()))
 	o := &a.x.s.o
 	if a.choice.Wait == 0 && a.signs.Load.Waiting == 0 && !a.up.Cold(now) {
-		o.Ranker.Observe(a.x.service, a.choice.Warm, a.up.Region(), a.took)
+		o.Ranker.Observe(now, a.x.service, a.x.route.Name, a.choice.Warm, a.up.Region(), a.took)
 	}
 	if a.x.object != 0 {
 		a.up.Warmed(a.x.object, now)
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -225,7 +225,7 @@
 	o := &x.s.o
 	weights := o.Plan.Weights(x.service, x.route.Class)
 	q := ranker.Query{
-		Group: o.Upstreams.Group(x.service), Regions: o.Regions, Weights: weights,
+		Group: o.Upstreams.Group(x.service), Route: x.route.Name, Regions: o.Regions, Weights: weights,
 		Object: x.object, Draw: x.draw, Left: left, Target: x.route.Target, Tried: x.tried, ColdRate: x.coldRate, Cross: o.Plan.Cross,
 	}
 	if q.Group == nil {
