--- a/internal/request/estimator/estimator.go
+++ b/internal/request/estimator/estimator.go
@@ -101,7 +101,7 @@
 }
 
 // find returns an entry of one of the maps, which it makes if there is none.
-func find[K comparable](e *Estimator, works map[K]*work, k K, make func() *work) *work {
+func find[K comparable](e *Estimator, works map[K]*work, k K, build func() *work) *work {
 	e.mu.RLock()
 	w := works[k]
 	e.mu.RUnlock()
@@ -114,7 +114,7 @@
 		if len(works) >= routesMost {
 			clear(works)
 		}
-		w = make()
+		w = build()
 		works[k] = w
 	}
 	return w
