Bound answers without an end, and the memory that bodies take

Cause: an answer longer than 1 MiB is passed on as it arrives, and each read of it renewed a deadline of 10 s, so an upstream that never ends its body kept the connection, the caller and the host busy for good (a caller with 3 s left still received bytes after 20 s). Answers that were begun did not count for their upstream when they broke. And each attempt may hold 1 MiB and a caller's long body: 184 of them fill the smallest host.

Now a streamed answer is broken off when the caller's stated time is over, or after 5 min if it states none; its upstream counts as failed. The bodies of all requests and answers of a host take at most 0.3 of its memory: without room an answer is passed on instead of held, and a request whose body has no room is refused as not run.

--- a/cmd/dandeliontrack/entry.go
+++ b/cmd/dandeliontrack/entry.go
@@ -36,7 +36,7 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
-	s, store, memory, err := platform.ReadSettings(path)
+	s, store, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -45,8 +45,8 @@
 		return classifier.Invalid.Wrap(err, "level")
 	}
 	debug.SetGCPercent(heapGrowth)
-	if memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	}
 	out := logger.NewBuffer(os.Stdout)
 	defer out.Close()
@@ -65,6 +65,6 @@
 // reload puts changed settings in force, as far as they can change while the
 // host runs. Wrong ones change nothing.
 func reload(path string, host *conductor.Conductor) {
-	s, _, _, err := platform.ReadSettings(path)
+	s, _, err := platform.ReadSettings(path)
 	host.Reload(s, err)
 }
--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -21,6 +21,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 )
 
 // Limits bounds what a caller may send.
@@ -65,6 +67,7 @@
 	Request *http.Request // its Body is nil if Body is whole
 	Body    []byte        // the whole body, unless Request.Body streams it
 	Arrived time.Time     // of the first byte
+	held    int64         // bytes that are reserved for the body
 }
 
 // Handler answers calls. Serve must answer before it returns; ctx ends when the
@@ -81,6 +84,8 @@
 	// Repeatable reports whether a request may run while earlier ones of its
 	// connection are under way. Nil means that none may.
 	Repeatable func(r *http.Request) bool
+	// Memory bounds the bodies that are held; nil means no bound.
+	Memory *reserver.Reserver
 }
 
 // Acceptor serves the connections of callers. It is safe for concurrent use.
@@ -102,6 +107,9 @@
 	if o.Repeatable == nil {
 		o.Repeatable = func(*http.Request) bool { return false }
 	}
+	if o.Memory == nil {
+		o.Memory = new(reserver.Reserver)
+	}
 	return &Acceptor{options: o, conns: make(map[*conn]struct{})}
 }
 
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 )
 
 // handler answers with the path and, if the path asks for it, waits until it is
@@ -261,3 +262,37 @@
 		assert.Assert(t, len(strings.Fields(h.paths())) <= strings.Count(input, "\r\n\r\n"))
 	})
 }
+
+// Guards against a host that runs out of memory because many callers send long bodies
+// at once, and against bodies that stay counted when their callers leave.
+func TestBodiesAreBounded(t *testing.T) {
+	const most = 1 << 20
+	memory := reserver.New(most)
+	h := newHandler()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	a := acceptor.New(acceptor.Options{Handler: h, Memory: memory})
+	go func() { _ = a.Serve(l) }()
+	var wg sync.WaitGroup
+	for i := range 12 {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		wg.Go(func() {
+			defer conn.Close()
+			body := strings.Repeat("x", 300_000)
+			// Every third caller leaves in the middle of its body.
+			_, _ = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n"+body[i%3*1000:])
+			if i%3 == 0 {
+				_, _ = http.ReadResponse(bufio.NewReader(conn), nil)
+			}
+		})
+	}
+	wg.Wait()
+	_ = l.Close()
+	a.Stop()
+	a.CloseIdle()
+	a.Wait(t.Context())
+	assert.Assert(t, memory.Peak() > 0 && memory.Peak() <= most, "%d", memory.Peak())
+	assert.Equal(t, memory.Used(), int64(0))
+}
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -85,6 +86,9 @@
 		plain = repeatable
 		places <- struct{}{}
 		if !c.begin() {
+			if call != nil {
+				c.a.options.Memory.Give(call.held)
+			}
 			break // an answer before it closes the connection: not read
 		}
 		answer := newAnswer(c, call, turn)
@@ -137,6 +141,9 @@
 
 func (c *conn) run(call *Call, answer *Answer, refusal int) {
 	defer c.a.active.Add(-1)
+	if call != nil {
+		defer func() { c.a.options.Memory.Give(call.held) }()
+	}
 	defer answer.end()
 	if refusal != 0 {
 		answer.Refuse(refusal, nil)
@@ -223,7 +230,12 @@
 		r.Body = body
 		return call, 0
 	}
-	whole, err := io.ReadAll(io.LimitReader(body, wholeBody+1))
+	var b bytes.Buffer
+	held, whole, err := c.a.options.Memory.Fill(&b, body, r.ContentLength, wholeBody)
+	call.held = held
+	if err != nil {
+		c.a.options.Memory.Give(held)
+	}
 	switch {
 	case errors.Is(err, errTooLarge):
 		return nil, http.StatusRequestEntityTooLarge
@@ -233,11 +245,11 @@
 		return nil, 0
 	case err != nil:
 		return nil, http.StatusBadRequest
-	case len(whole) > wholeBody:
-		r.Body = &prefixed{head: whole, rest: body}
+	case !whole:
+		r.Body = &prefixed{head: b.Bytes(), rest: body}
 		return call, 0
 	}
-	call.Body, r.Body = whole, nil
+	call.Body, r.Body = b.Bytes(), nil
 	return call, 0
 }
 
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -25,6 +25,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
 	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
@@ -54,6 +55,7 @@
 	ShiftSpan time.Duration
 	Cold      feeder.Limit
 	Share     float64 // of a processor
+	Memory    int64   // limit of the process in bytes, 0 for none
 }
 
 // step returns the largest part of the requests that plans move within a second.
@@ -160,12 +162,14 @@
 		Dial: dialer(upstreamSilence).DialContext, Open: openWithin, Idle: idleWithin, Own: c.own,
 	})
 	c.meter.Derive(meter.Dials, c.sender.Opened)
+	memory := reserver.New(int64(bodyShare * float64(s.Memory)))
+	c.meter.Derive(meter.BodyBytes, memory.Used)
 	st := steerer.New(steerer.Options{
 		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
-		Log: log, Meter: c.meter,
+		Memory: memory, Log: log, Meter: c.meter,
 	})
-	c.acceptor = acceptor.New(acceptor.Options{Handler: st, Limits: c.limits, Repeatable: st.Repeatable})
+	c.acceptor = acceptor.New(acceptor.Options{Handler: st, Limits: c.limits, Repeatable: st.Repeatable, Memory: memory})
 	c.followers = map[string]*follower.Follower{
 		p.Upstreams(): follower.New(p.Upstreams(), p, upstreamPeriod, c),
 		p.Operator():  follower.New(p.Operator(), p, 0, c),
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -49,6 +49,11 @@
 	headerWithin    = 2 * time.Second
 	sideIdle        = 30 * time.Second
 
+	// bodyShare is the part of the process's memory that the bodies of requests and
+	// answers may take: 55 MB of 184 MB, which is 55 of the longest at once. Buffers
+	// double as they grow, so twice that may be in use.
+	bodyShare = 0.3
+
 	// shiftPart is the part of the allowed shift between regions that plans use.
 	// The rest is left to callers that move and to objects that differ in rate.
 	shiftPart = 0.5
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -39,6 +39,7 @@
 	PeerBytes      Counter = "peer_bytes"
 	UpstreamBytes  Counter = "upstream_bytes"
 	AbortedAnswers Counter = "aborted_answers"
+	BodyBytes      Counter = "body_bytes"
 )
 
 var meanings = map[Counter]string{
@@ -60,6 +61,7 @@
 	PeerBytes:      "bytes sent to peers",
 	UpstreamBytes:  "body bytes read from upstreams",
 	AbortedAnswers: "answers broken off because they could not be completed",
+	BodyBytes:      "bytes of requests and answers that are held now",
 }
 
 // Counters returns all counters by name.
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 	err      error
 	took     time.Duration
 	done     atomic.Bool
+	held     int64        // bytes of the bodies that are reserved
+	users    atomic.Int32 // of the body: the attempt and its request
 }
 
 func newAttempt(x *exchange, c ranker.Choice, now time.Time) *attempt {
@@ -61,10 +64,19 @@
 		parent = context.WithoutCancel(parent)
 	}
 	a.ctx, a.cancel = context.WithCancelCause(parent)
+	a.users.Store(2)
 	a.up.Begin()
 	return a
 }
 
+// release ends one use of the body. The memory is free again after both, because an
+// attempt may go on when its request has been answered.
+func (a *attempt) release() {
+	if a.users.Add(-1) == 0 {
+		a.x.s.o.Memory.Give(a.held)
+	}
+}
+
 // teaches reports whether the upstream probably has to learn the object. Such work
 // goes on when the route's time is over, as long as the caller is there, or an
 // upstream would never learn an object that takes longer than that.
@@ -84,6 +96,7 @@
 
 // run sends the request and reads the answer.
 func (a *attempt) run() {
+	defer a.release()
 	defer a.up.End()
 	a.err = a.exchange()
 	now := time.Now()
@@ -125,10 +138,16 @@
 	body := x.call.Body
 	if in.Body != nil {
 		a.streamed = true
-		var err error
-		if body, err = io.ReadAll(in.Body); err != nil {
+		var b bytes.Buffer
+		held, whole, err := x.s.o.Memory.Fill(&b, in.Body, in.ContentLength, math.MaxInt64)
+		a.held += held
+		if err != nil {
 			return nil, classifier.BadRequest.Wrap(err, "request body")
 		}
+		if !whole {
+			return nil, classifier.Overloaded.New("no memory is free for the request's body")
+		}
+		body = b.Bytes()
 	}
 	h := make(http.Header, len(in.Header)+2)
 	stripper.Copy(h, in.Header, nil)
@@ -175,26 +194,22 @@
 	}
 }
 
-// read reads the body, as far as it is short.
+// read reads the body, as far as it is short and memory is free for it.
 func (a *attempt) read() error {
 	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
 	defer stop()
 	var b bytes.Buffer
-	if n := a.answer.ContentLength; n > 0 {
-		b.Grow(int(n) + bytes.MinRead)
-	}
-	n, err := io.Copy(&b, io.LimitReader(a.answer.Body, wholeAnswer+1))
-	a.body = b.Bytes()
+	held, whole, err := a.x.s.o.Memory.Fill(&b, a.answer.Body, a.answer.ContentLength, wholeAnswer)
+	a.held += held
+	a.body, a.whole = b.Bytes(), whole
 	switch {
 	case err != nil:
 		a.conn.Close()
 		return a.broken(err)
-	case n > wholeAnswer:
-		return nil // the rest is streamed
+	case whole:
+		a.conn.Done()
 	}
-	a.whole = true
-	a.conn.Done()
-	return nil
+	return nil // what is left is streamed
 }
 
 func (a *attempt) broken(err error) error {
@@ -225,7 +240,7 @@
 	return h
 }
 
-// stream passes a long answer on as it arrives.
+// stream passes a long answer on as it arrives, until the caller's time is over.
 func (a *attempt) stream(to *acceptor.Answer) (int64, error) {
 	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
 	defer stop()
@@ -233,7 +248,7 @@
 	n := int64(total)
 	buf := make([]byte, streamSize)
 	for err == nil {
-		a.conn.Extend(time.Now().Add(stallTime))
+		a.conn.Extend(earlier(time.Now().Add(stallTime), a.x.streamed))
 		var k int
 		k, err = a.answer.Body.Read(buf)
 		if k > 0 {
@@ -252,6 +267,13 @@
 	return n, nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // learn tells the upstream's state what the attempt showed.
 func (a *attempt) learn(now time.Time) {
 	if a.signs.Loaded {
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -62,6 +62,7 @@
 	draw     uint64
 	deadline time.Time // of the answer
 	patience time.Time // of the caller, at or after the deadline
+	streamed time.Time // when an answer that is passed on as it arrives is broken off
 
 	attempts []*attempt
 	tried    []*registrar.Upstream
@@ -78,6 +79,7 @@
 	results := make(chan *attempt, tries)
 	timer := time.NewTimer(time.Until(x.deadline))
 	defer timer.Stop()
+	defer x.release()
 	defer x.cancel()
 	pending := 0
 	if err := x.launch(results); err != nil {
@@ -262,6 +264,13 @@
 	}
 }
 
+// release gives back the memory that the attempts hold.
+func (x *exchange) release() {
+	for _, a := range x.attempts {
+		a.release()
+	}
+}
+
 // deliver answers the caller with what an attempt got.
 func (x *exchange) deliver(a *attempt) error {
 	x.status = a.answer.StatusCode
@@ -280,6 +289,9 @@
 	}
 	n, err := a.stream(x.answer)
 	x.bytes = n
+	if err != nil && !errors.Is(err, acceptor.ErrCaller) {
+		a.up.Failed(time.Now())
+	}
 	return err
 }
 
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -22,6 +22,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 )
@@ -59,7 +60,7 @@
 	Cross(failing bool) bool
 }
 
-// Options configure a Steerer. All are needed, except Log and Meter.
+// Options configure a Steerer. All are needed, except Memory, Log and Meter.
 type Options struct {
 	Dialect Dialect
 	Table   func() *matcher.Table // nil without a configuration
@@ -72,6 +73,7 @@
 	Ranker    *ranker.Ranker
 	Budget    *budgeter.Budgeter
 	Sender    *sender.Sender
+	Memory    *reserver.Reserver // for answers that are held; the default has no bound
 	Log       logger.Logger
 	Meter     *meter.Meter
 }
@@ -87,6 +89,9 @@
 	if o.Meter == nil {
 		o.Meter = meter.New()
 	}
+	if o.Memory == nil {
+		o.Memory = new(reserver.Reserver)
+	}
 	return &Steerer{o: o}
 }
 
@@ -104,8 +109,13 @@
 	return route != nil && route.Class.Repeatable()
 }
 
-// defaultPatience bounds a request whose caller and route say nothing.
-const defaultPatience = 30 * time.Second
+const (
+	// defaultPatience bounds a request whose caller and route say nothing.
+	defaultPatience = 30 * time.Second
+	// streamMost bounds an answer that is passed on as it arrives if the caller does
+	// not say how long it waits. 1 GB takes that long at 27 Mbit/s.
+	streamMost = 5 * time.Minute
+)
 
 // Serve implements acceptor.Handler.
 func (s *Steerer) Serve(ctx context.Context, c *acceptor.Call, a *acceptor.Answer) {
@@ -130,8 +140,10 @@
 	}
 	most := cmp.Or(x.route.Timeout, defaultPatience)
 	patience, ok := x.s.o.Dialect.Patience(r.Header)
+	x.streamed = x.call.Arrived.Add(patience)
 	if !ok {
 		patience = most
+		x.streamed = x.call.Arrived.Add(streamMost)
 	}
 	x.patience = x.call.Arrived.Add(patience)
 	x.deadline = x.call.Arrived.Add(min(patience, most))
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -18,6 +18,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
@@ -108,14 +109,18 @@
 	first  *upstream
 	second *upstream
 	steer  *steerer.Steerer
+	memory *reserver.Reserver
 	dial   func() net.Conn
 }
 
 const object = "7"
 
+// memoryMost is the memory for bodies, enough for four long answers.
+const memoryMost = 4 << 20
+
 func newRig(t *testing.T, behave func(first, second *upstream)) *rig {
 	t.Helper()
-	g := &rig{t: t}
+	g := &rig{t: t, memory: reserver.New(memoryMost)}
 	reg := registrar.New(map[string]string{"z": "r"})
 	var ups []*upstream
 	for i := range 2 {
@@ -143,7 +148,7 @@
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: everywhere{},
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
 		Upstreams: reg, Ranker: ranker.New("r"),
-		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s,
+		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s, Memory: g.memory,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
