Keep a panic in one piece of work from ending an entry host

Cause: no goroutine of an entry host recovered, so one request, answer, message of a host or row that the code fails on ended the process with all that was under way there (shown by TestPanics and TestHandlerPanics, which end the test process without the change).

Now the work that met the fault fails alone: a request gets 500 (or a broken connection if its answer was begun), an attempt counts as one that may have run, an exchange gets a failure, a row is left out, periodic work starts again after a pause. The membership changes its state under deferred unlocks, so that no lock stays held.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -86,6 +86,9 @@
 	Repeatable func(r *http.Request) bool
 	// Memory bounds the bodies that are held; nil means no bound.
 	Memory *reserver.Reserver
+	// Guard runs f and reports whether it panicked; nil means that panics are not
+	// recovered.
+	Guard func(place string, f func()) bool
 }
 
 // Acceptor serves the connections of callers. It is safe for concurrent use.
@@ -107,6 +110,9 @@
 	if o.Repeatable == nil {
 		o.Repeatable = func(*http.Request) bool { return false }
 	}
+	if o.Guard == nil {
+		o.Guard = func(_ string, f func()) bool { f(); return false }
+	}
 	if o.Memory == nil {
 		o.Memory = new(reserver.Reserver)
 	}
@@ -128,7 +134,11 @@
 		a.mu.Lock()
 		a.conns[c] = struct{}{}
 		a.mu.Unlock()
-		a.wg.Go(c.serve)
+		a.wg.Go(func() {
+			if a.options.Guard("connection of a caller", c.serve) {
+				_ = raw.Close()
+			}
+		})
 	}
 }
 
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -14,6 +14,9 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 )
 
@@ -263,6 +266,54 @@
 	})
 }
 
+// Guards against a handler that panics and takes the process, or the connection's
+// later requests, with it.
+func TestHandlerPanics(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	a := acceptor.New(acceptor.Options{Handler: panicking{}, Guard: recoverer.New(logger.Logger{}, meter.New()).Do})
+	go func() { _ = a.Serve(l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	br := bufio.NewReader(conn)
+	for _, c := range []struct {
+		path string
+		want int
+	}{{"/break", 500}, {"/a", 200}, {"/break", 500}} {
+		_, err = io.WriteString(conn, "GET "+c.path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		r, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, r.StatusCode, c.want)
+	}
+	_, err = io.WriteString(conn, "GET /midway HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	r, err := http.ReadResponse(br, nil)
+	if err == nil {
+		_, err = io.ReadAll(r.Body)
+	}
+	assert.ErrorContains(t, err, "") // never taken for whole
+}
+
+// panicking panics before or in the middle of an answer.
+type panicking struct{}
+
+func (panicking) Serve(_ context.Context, c *acceptor.Call, a *acceptor.Answer) {
+	switch c.Request.URL.Path {
+	case "/break":
+		panic("before the answer")
+	case "/midway":
+		_ = a.Start(http.StatusOK, nil, 100)
+		_, _ = a.Write([]byte("part"))
+		_ = a.Flush()
+		panic("in the middle of the answer")
+	default:
+		_ = a.Start(http.StatusOK, nil, 0)
+	}
+}
+
 // Guards against a host that runs out of memory because many callers send long bodies
 // at once, and against bodies that stay counted when their callers leave.
 func TestBodiesAreBounded(t *testing.T) {
@@ -281,7 +332,7 @@
 		wg.Go(func() {
 			defer conn.Close()
 			body := strings.Repeat("x", 300_000)
-			// Every third caller leaves in the middle of its body.
+			// Two of three callers leave in the middle of their body.
 			_, _ = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n"+body[i%3*1000:])
 			if i%3 == 0 {
 				_, _ = http.ReadResponse(bufio.NewReader(conn), nil)
--- a/internal/connection/acceptor/answer.go
+++ b/internal/connection/acceptor/answer.go
@@ -153,6 +153,15 @@
 	_ = a.Start(status, header, 0)
 }
 
+// fail ends an answer whose handler did not come to its end.
+func (a *Answer) fail() {
+	if a.started {
+		a.Abort()
+		return
+	}
+	a.Refuse(http.StatusInternalServerError, nil)
+}
+
 // end completes the answer, and closes the connection if it has to.
 func (a *Answer) end() {
 	defer close(a.done)
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -149,7 +149,9 @@
 		answer.Refuse(refusal, nil)
 		return
 	}
-	c.a.options.Handler.Serve(c.ctx, call, answer)
+	if c.a.options.Guard("request", func() { c.a.options.Handler.Serve(c.ctx, call, answer) }) {
+		answer.fail()
+	}
 }
 
 // next reads one request. Without a request, the status is what the caller is
--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -38,10 +38,14 @@
 // Handler answers one envelope. An error is sent to the caller by its kind.
 type Handler func(ctx context.Context, e *framer.Envelope) (*framer.Envelope, error)
 
+// guard runs f and reports whether it panicked.
+type guard func(place string, f func()) bool
+
 // Linker holds the sessions of one host. It is safe for concurrent use.
 type Linker struct {
 	security security
 	handler  Handler
+	guard    guard
 	served   chan struct{}
 	sessions chan struct{}
 	meter    meter
@@ -66,6 +70,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Linker{
 		security: sec, handler: handler, ctx: ctx, cancel: cancel,
+		guard:    func(_ string, f func()) bool { f(); return false },
 		served:   make(chan struct{}, maxServed),
 		sessions: make(chan struct{}, maxSessions),
 		dial:     new(net.Dialer).DialContext,
@@ -82,6 +87,10 @@
 	l.dial = dial
 }
 
+// UseGuard makes the Linker run handlers with g, which recovers panics. It must be
+// called before Serve.
+func (l *Linker) UseGuard(g func(place string, f func()) bool) { l.guard = g }
+
 func config() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.KeepAliveInterval = keepAlive
@@ -114,7 +123,7 @@
 		case l.sessions <- struct{}{}:
 			l.wg.Go(func() {
 				defer func() { <-l.sessions }()
-				l.serveConn(conn)
+				_ = l.guard("session of a host", func() { l.serveConn(conn) })
 			})
 		default:
 			_ = conn.Close()
@@ -173,7 +182,7 @@
 		}
 		l.wg.Go(func() {
 			defer func() { <-l.served }()
-			l.serveStream(stream, counted.counters)
+			_ = l.guard("exchange with a host", func() { l.serveStream(stream, counted.counters) })
 		})
 	}
 }
@@ -191,7 +200,10 @@
 	if err != nil {
 		return
 	}
-	reply, err := l.handler(ctx, request)
+	var reply *framer.Envelope
+	if l.guard("message of a host", func() { reply, err = l.handler(ctx, request) }) {
+		reply, err = nil, classifier.Internal.New("the handler panicked")
+	}
 	if err != nil {
 		reply = &framer.Envelope{Body: &framer.Envelope_Failure{Failure: &framer.Failure{Kind: classifier.Of(err).String(), Message: err.Error()}}}
 	}
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -24,6 +24,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
@@ -101,6 +102,7 @@
 	regions  []string
 
 	meter     *meter.Meter
+	recoverer *recoverer.Recoverer
 	linker    *linker.Linker
 	gossiper  *gossiper.Gossiper
 	registrar *registrar.Registrar
@@ -143,13 +145,16 @@
 	slices.Sort(c.regions)
 	c.lifetime.Store(int64(s.Lifetime))
 	c.grace.Store(int64(s.Grace))
+	c.recoverer = recoverer.New(log, c.meter)
 	now := time.Now()
 	var err error
 	if c.linker, err = linker.New(settler.Peer{Listen: s.Peer, Plain: true}, c.handle); err != nil {
 		return nil, err
 	}
 	c.linker.UseDial(c.dialHost)
+	c.linker.UseGuard(c.recoverer.Do)
 	c.gossiper = gossiper.New(c.self(now), c.linker, c.seedAddresses)
+	c.gossiper.UseGuard(c.recoverer.Do)
 	c.gossiper.OnChange(c.changed)
 	c.feeder = feeder.New(s.Name, s.Cold, now)
 	c.registrar = registrar.New(s.Zones)
@@ -167,9 +172,11 @@
 	st := steerer.New(steerer.Options{
 		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
-		Memory: memory, Log: log, Meter: c.meter,
+		Memory: memory, Guard: c.recoverer.Do, Log: log, Meter: c.meter,
+	})
+	c.acceptor = acceptor.New(acceptor.Options{
+		Handler: st, Limits: c.limits, Repeatable: st.Repeatable, Memory: memory, Guard: c.recoverer.Do,
 	})
-	c.acceptor = acceptor.New(acceptor.Options{Handler: st, Limits: c.limits, Repeatable: st.Repeatable, Memory: memory})
 	c.followers = map[string]*follower.Follower{
 		p.Upstreams(): follower.New(p.Upstreams(), p, upstreamPeriod, c),
 		p.Operator():  follower.New(p.Operator(), p, 0, c),
@@ -267,15 +274,15 @@
 
 // start begins the work that goes on beside requests.
 func (c *Conductor) start(ctx context.Context, g *errgroup.Group) {
-	for _, f := range c.followers {
-		g.Go(func() error {
-			f.Run(ctx)
-			return nil
-		})
+	work := map[string]func(context.Context){
+		"membership": c.gossiper.Run, "exchange": c.exchange, "tick": c.tick, "announce": c.announce,
+	}
+	for table, f := range c.followers {
+		work["table "+table] = f.Run
 	}
-	for _, run := range []func(context.Context){c.gossiper.Run, c.exchange, c.tick, c.announce} {
+	for place, run := range work {
 		g.Go(func() error {
-			run(ctx)
+			c.recoverer.Keep(ctx, place, run)
 			return nil
 		})
 	}
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -12,11 +12,14 @@
 	now := time.Now()
 	defer c.registrar.Hold()()
 	for _, r := range rows {
-		if table == c.platform.Upstreams() {
-			c.upstream(r, now, first)
-		} else {
-			c.operator(r, now)
-		}
+		// A row that the code fails on must not keep the other rows out.
+		_ = c.recoverer.Do("row "+r.Key, func() {
+			if table == c.platform.Upstreams() {
+				c.upstream(r, now, first)
+			} else {
+				c.operator(r, now)
+			}
+		})
 	}
 }
 
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -37,6 +37,7 @@
 type Gossiper struct {
 	caller Caller
 	seeds  func() []string
+	guard  func(place string, f func()) bool
 
 	mu       sync.Mutex
 	detector *detector.Detector
@@ -48,9 +49,16 @@
 // New returns the membership of the host that self describes. Seeds returns
 // peer addresses that may be hosts: from the settings and the platform's list.
 func New(self *framer.Member, caller Caller, seeds func() []string) *Gossiper {
-	return &Gossiper{caller: caller, seeds: seeds, detector: detector.New(self, time.Now())}
+	return &Gossiper{
+		caller: caller, seeds: seeds, detector: detector.New(self, time.Now()),
+		guard: func(_ string, f func()) bool { f(); return false },
+	}
 }
 
+// UseGuard makes the Gossiper run probes with g, which recovers panics. It must be
+// called before Run.
+func (g *Gossiper) UseGuard(guard func(place string, f func()) bool) { g.guard = guard }
+
 // OnChange registers f for members whose state or readiness changed. It must
 // be called before Run. f must not call the Gossiper.
 func (g *Gossiper) OnChange(f func(*framer.Member)) { g.onChange = append(g.onChange, f) }
@@ -132,16 +140,18 @@
 	return answer, nil
 }
 
-func (g *Gossiper) merge(e *framer.Envelope, full bool) {
+func (g *Gossiper) merge(e *framer.Envelope, full bool) { g.tell(g.learn(e, full)) }
+
+// learn takes over updates and returns the members that changed.
+func (g *Gossiper) learn(e *framer.Envelope, full bool) []*framer.Member {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if full {
 		g.detector.OnAll(e.From, e.Members, time.Now())
 	} else {
 		g.detector.OnMembers(e.Members, time.Now())
 	}
-	news := g.detector.Drain()
-	g.mu.Unlock()
-	g.tell(news)
+	return g.detector.Drain()
 }
 
 func (g *Gossiper) tell(news []*framer.Member) {
@@ -202,14 +212,12 @@
 // again.
 func (g *Gossiper) join(ctx context.Context) time.Duration {
 	known, again := make(map[string]bool), alonePeriod
-	g.mu.Lock()
-	known[g.detector.Self().Address] = true
-	for _, m := range g.detector.Members() {
+	known[g.Self().Address] = true
+	for _, m := range g.Members() {
 		if detector.State(m.State) <= detector.Suspect {
 			known[m.Address], again = true, joinPeriod
 		}
 	}
-	g.mu.Unlock()
 	var unknown []string
 	for _, address := range g.seeds() {
 		if !known[address] {
@@ -219,22 +227,26 @@
 	}
 	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
 	for _, address := range unknown[:min(len(unknown), joinMost)] {
-		g.wg.Go(func() { g.ping(ctx, address, true) })
+		g.wg.Go(func() { _ = g.guard("join", func() { g.ping(ctx, address, true) }) })
 	}
 	return again
 }
 
 func (g *Gossiper) step(ctx context.Context, now time.Time) {
-	g.mu.Lock()
-	probes := g.detector.Step(now)
-	news := g.detector.Drain()
-	g.mu.Unlock()
+	probes, news := g.advance(now)
 	g.tell(news)
 	for _, p := range probes {
-		g.wg.Go(func() { g.probe(ctx, p) })
+		g.wg.Go(func() { _ = g.guard("probe", func() { g.probe(ctx, p) }) })
 	}
 }
 
+// advance brings the detector forward and returns what to probe and what changed.
+func (g *Gossiper) advance(now time.Time) ([]detector.Probe, []*framer.Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.Step(now), g.detector.Drain()
+}
+
 func (g *Gossiper) probe(ctx context.Context, p detector.Probe) {
 	ok := false
 	if p.Via() == "" {
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -40,6 +40,7 @@
 	UpstreamBytes  Counter = "upstream_bytes"
 	AbortedAnswers Counter = "aborted_answers"
 	BodyBytes      Counter = "body_bytes"
+	Panics         Counter = "panics"
 )
 
 var meanings = map[Counter]string{
@@ -62,6 +63,7 @@
 	UpstreamBytes:  "body bytes read from upstreams",
 	AbortedAnswers: "answers broken off because they could not be completed",
 	BodyBytes:      "bytes of requests and answers that are held now",
+	Panics:         "panics recovered; the work failed and the process went on",
 }
 
 // Counters returns all counters by name.
--- /dev/null
+++ b/internal/process/recoverer/recoverer_test.go
@@ -0,0 +1,46 @@
+package recoverer_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
+)
+
+// Guards against a panic that ends the process, or goes by without a line.
+func TestDo(t *testing.T) {
+	var out bytes.Buffer
+	r := recoverer.New(logger.New(&out, zerolog.InfoLevel, "h"), meter.New())
+	assert.Assert(t, !r.Do("quiet", func() {}))
+	assert.Equal(t, out.Len(), 0)
+	assert.Assert(t, r.Do("a row", func() { panic("broken") }))
+	for _, part := range []string{`"place":"a row"`, `"panic":"broken"`, "recoverer_test.go"} {
+		assert.Assert(t, strings.Contains(out.String(), part), "%s", out.String())
+	}
+}
+
+// Guards against periodic work that ends with its first panic.
+func TestKeep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := recoverer.New(logger.Logger{}, meter.New())
+		runs := 0
+		r.Keep(t.Context(), "loop", func(context.Context) {
+			if runs++; runs < 4 {
+				panic(runs)
+			}
+		})
+		assert.Equal(t, runs, 4)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		r.Keep(ctx, "ended", func(context.Context) { runs++; panic(runs) })
+		assert.Equal(t, runs, 5)
+	})
+}
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -105,6 +105,15 @@
 	a.done.Store(true)
 }
 
+// fail ends an attempt that did not come to its end by itself.
+func (a *attempt) fail() {
+	if a.conn != nil {
+		a.conn.Close()
+	}
+	a.err = classifier.Internal.New("the attempt at upstream %s panicked", a.up.ID())
+	a.done.Store(true)
+}
+
 func (a *attempt) exchange() error {
 	x := a.x
 	var err error
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -45,6 +45,7 @@
 	errLeft    = classifier.Expired.New("the caller left")
 	errExpired = classifier.Overloaded.New("no upstream could be reached before the deadline")
 	errLate    = classifier.TimedOut.New("no answer before the deadline")
+	errPanic   = classifier.Internal.New("the request met a fault in the code")
 	errHedged  = errors.New("another attempt answered first")
 )
 
@@ -216,7 +217,9 @@
 	x.tried = append(x.tried, choice.Upstream)
 	x.sent++
 	go func() {
-		a.run()
+		if x.s.o.Guard("attempt", a.run) {
+			a.fail()
+		}
 		results <- a
 	}()
 	return nil
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -60,7 +60,7 @@
 	Cross(failing bool) bool
 }
 
-// Options configure a Steerer. All are needed, except Memory, Log and Meter.
+// Options configure a Steerer. All are needed, except Memory, Guard, Log and Meter.
 type Options struct {
 	Dialect Dialect
 	Table   func() *matcher.Table // nil without a configuration
@@ -74,8 +74,11 @@
 	Budget    *budgeter.Budgeter
 	Sender    *sender.Sender
 	Memory    *reserver.Reserver // for answers that are held; the default has no bound
-	Log       logger.Logger
-	Meter     *meter.Meter
+	// Guard runs f and reports whether it panicked; nil means that panics are not
+	// recovered.
+	Guard func(place string, f func()) bool
+	Log   logger.Logger
+	Meter *meter.Meter
 }
 
 // Steerer serves calls. It is safe for concurrent use.
@@ -89,6 +92,9 @@
 	if o.Meter == nil {
 		o.Meter = meter.New()
 	}
+	if o.Guard == nil {
+		o.Guard = func(_ string, f func()) bool { f(); return false }
+	}
 	if o.Memory == nil {
 		o.Memory = new(reserver.Reserver)
 	}
@@ -120,13 +126,20 @@
 // Serve implements acceptor.Handler.
 func (s *Steerer) Serve(ctx context.Context, c *acceptor.Call, a *acceptor.Answer) {
 	x := &exchange{s: s, ctx: ctx, call: c, answer: a, id: s.o.Dialect.Identity(c.Request.Header)}
-	err := x.prepare()
-	if err == nil {
-		err = x.serve()
+	var err error
+	if s.o.Guard("request "+x.id, func() { err = x.run() }) {
+		err = errPanic
 	}
 	x.end(err)
 }
 
+func (x *exchange) run() error {
+	if err := x.prepare(); err != nil {
+		return err
+	}
+	return x.serve()
+}
+
 // prepare finds the route and the time that is left.
 func (x *exchange) prepare() error {
 	r := x.call.Request
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -17,6 +17,9 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
@@ -32,13 +35,23 @@
 	d, err := time.ParseDuration(h.Get("Patience"))
 	return d, err == nil
 }
-func (dialect) Object(r *http.Request) string { return r.Header.Get("Object") }
+
+func (dialect) Object(r *http.Request) string {
+	if r.Header.Get("Break") != "" {
+		panic("a request that the code fails on")
+	}
+	return r.Header.Get("Object")
+}
+
 func (dialect) Address(h http.Header, instance string, left time.Duration) {
 	h.Set("Instance", instance)
 	h.Set("Patience", left.String())
 }
 
 func (dialect) Signs(status int, h http.Header) steerer.Signs {
+	if h.Get("Break") != "" {
+		panic("an answer that the code fails on")
+	}
 	return steerer.Signs{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
 }
 func (dialect) Identify(h http.Header, id string) { h.Set("Id", id) }
@@ -148,7 +161,7 @@
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: everywhere{},
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
 		Upstreams: reg, Ranker: ranker.New("r"),
-		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s, Memory: g.memory,
+		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s, Memory: g.memory, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -244,6 +257,35 @@
 	}
 }
 
+// Guards against one message that takes the whole process down: its request gets an
+// error, one that may be repeated an answer from elsewhere, and others go on.
+func TestPanics(t *testing.T) {
+	broken := func(u *upstream) http.HandlerFunc { return status(u, 200, "Break") }
+	for name, c := range map[string]struct {
+		method, path, header string
+		want                 int
+	}{
+		"request":       {"GET", "/look/1", "Break: 1\r\n", 500},
+		"answer":        {"GET", "/look/1", "", 200},
+		"answer, once":  {"POST", "/pay/1", "", 500},
+		"request, once": {"POST", "/pay/1", "Break: 1\r\n", 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, func(first, _ *upstream) { first.handle = broken(first) })
+			r, _, err := g.ask(c.method, c.path, c.header)
+			assert.NilError(t, err)
+			assert.Equal(t, r.StatusCode, c.want)
+			assert.Equal(t, r.Header.Get("Id"), "1")
+			assert.Assert(t, c.method == "GET" || g.second.ran.Load() == 0)
+			assert.Equal(t, g.memory.Used(), int64(0))
+			g.first.handle = ok(g.first)
+			r, _, err = g.ask("GET", "/look/1")
+			assert.NilError(t, err)
+			assert.Equal(t, r.StatusCode, 200)
+		})
+	}
+}
+
 // Guards against a host that answers "not found" before it knows any route.
 func TestNoConfiguration(t *testing.T) {
 	g := newRig(t, func(_, _ *upstream) {})
