Ask before anything is sent after the process stood still

Cause: a host that was paused went on by the table it had. A plan between regions earned the steps of the whole pause at once (0.75 of the requests after 20 s, where 0.0375 a second are allowed), a feeder of cold upstreams went on by the hosts that it knew, and an answer of the store that had waited during the pause counted as news.

Now a pulse every 0.1 s, and each request, compare the time since the machine's start with the last pulse. After a gap of 1 s requests wait until the tables were confirmed after it, by the store or, while it fails, by another host; 1 s at most. A request whose upstream was chosen before the pause is chosen anew; nothing counts as sent. Plans earn one second at most between two moves, feeders count the recorded hosts again for 6 s. A demand that is no number is left out.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -86,9 +86,7 @@
 		plain = repeatable
 		places <- struct{}{}
 		if !c.begin() {
-			if call != nil {
-				c.a.options.Memory.Give(call.held)
-			}
+			c.forget(call)
 			break // an answer before it closes the connection: not read
 		}
 		answer := newAnswer(c, call, turn)
@@ -141,9 +139,7 @@
 
 func (c *conn) run(call *Call, answer *Answer, refusal int) {
 	defer c.a.active.Add(-1)
-	if call != nil {
-		defer func() { c.a.options.Memory.Give(call.held) }()
-	}
+	defer c.forget(call)
 	defer answer.end()
 	if refusal != 0 {
 		answer.Refuse(refusal, nil)
@@ -154,6 +150,13 @@
 	}
 }
 
+// forget gives back the memory of a request, if one was read.
+func (c *conn) forget(call *Call) {
+	if call != nil {
+		c.a.options.Memory.Give(call.held)
+	}
+}
+
 // next reads one request. Without a request, the status is what the caller is
 // told, or 0 if there is nobody to tell.
 func (c *conn) next() (*Call, int) {
--- a/internal/process/apportioner/apportioner.go
+++ b/internal/process/apportioner/apportioner.go
@@ -21,6 +21,10 @@
 // next counts as a shift, as do changes of the plan.
 const crossing = 0.02
 
+// moveMost bounds the time that counts between two moves of a plan. Plans move four
+// times a second; after a pause a plan would otherwise jump by what it had not moved.
+const moveMost = time.Second
+
 // Apportioner keeps the plan of one host. It is safe for concurrent use.
 type Apportioner struct {
 	own   int // index of the host's region
@@ -137,7 +141,7 @@
 		a.plans[name] = &plan{weights: target, moved: now}
 		return target
 	}
-	p.weights = toward(p.weights, target, slots, a.step*now.Sub(p.moved).Seconds())
+	p.weights = toward(p.weights, target, slots, a.step*min(now.Sub(p.moved), moveMost).Seconds())
 	p.moved = now
 	return p.weights
 }
--- a/internal/process/apportioner/apportioner_test.go
+++ b/internal/process/apportioner/apportioner_test.go
@@ -55,6 +55,18 @@
 	assert.Assert(t, moved > 0.07 && moved <= 0.0751, "%v", moved)
 }
 
+// Guards against a plan that jumps after its host was paused: in 20 s without a move it
+// earned 0.75 of the requests at once.
+func TestPlanDoesNotJumpAfterAPause(t *testing.T) {
+	a := apportioner.New(0, 0.0375)
+	now := time.Now()
+	slots := []float64{50, 50}
+	a.Move(now, "s", []float64{1, 0}, slots)
+	a.Count(now)
+	w := a.Move(now.Add(20*time.Second), "s", []float64{0, 1}, slots)
+	assert.Assert(t, w[1] > 0 && w[1] <= 0.0375, "%v", w)
+}
+
 // Guards against a first plan that outlasts better knowledge: hosts learned how far
 // the regions are between their first plan and the first request, and then took
 // 18 s to leave a plan for near regions, with objects learned far away meanwhile.
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -24,6 +24,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
+	"dandeliontrack.example/dandeliontrack/internal/process/pulser"
 	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
@@ -103,6 +104,7 @@
 
 	meter     *meter.Meter
 	recoverer *recoverer.Recoverer
+	pulser    *pulser.Pulser
 	linker    *linker.Linker
 	gossiper  *gossiper.Gossiper
 	registrar *registrar.Registrar
@@ -124,8 +126,10 @@
 
 	reader  atomic.Bool // this host reads the store for others
 	readers atomic.Pointer[[]string]
-	turn    int      // of the exchange; used by one goroutine
-	opened  sync.Map // address of a host to the time that a connection took
+	born    time.Time
+	met     atomic.Int64 // when another host answered last, in nanoseconds since born
+	turn    int          // of the exchange; used by one goroutine
+	opened  sync.Map     // address of a host to the time that a connection took
 
 	lifetime atomic.Int64 // of a look-up's answer, in nanoseconds
 	grace    atomic.Int64 // in nanoseconds
@@ -145,6 +149,8 @@
 	slices.Sort(c.regions)
 	c.lifetime.Store(int64(s.Lifetime))
 	c.grace.Store(int64(s.Grace))
+	c.born = time.Now()
+	c.pulser = pulser.New(nil)
 	c.recoverer = recoverer.New(log, c.meter)
 	now := time.Now()
 	var err error
@@ -172,7 +178,7 @@
 	st := steerer.New(steerer.Options{
 		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
-		Memory: memory, Guard: c.recoverer.Do, Log: log, Meter: c.meter,
+		Memory: memory, Guard: c.recoverer.Do, Pulse: c, Log: log, Meter: c.meter,
 	})
 	c.acceptor = acceptor.New(acceptor.Options{
 		Handler: st, Limits: c.limits, Repeatable: st.Repeatable, Memory: memory, Guard: c.recoverer.Do,
@@ -275,7 +281,7 @@
 // start begins the work that goes on beside requests.
 func (c *Conductor) start(ctx context.Context, g *errgroup.Group) {
 	work := map[string]func(context.Context){
-		"membership": c.gossiper.Run, "exchange": c.exchange, "tick": c.tick, "announce": c.announce,
+		"membership": c.gossiper.Run, "exchange": c.exchange, "tick": c.tick, "announce": c.announce, "beat": c.beat,
 	}
 	for table, f := range c.followers {
 		work["table "+table] = f.Run
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -349,10 +349,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
+	epoch := c.pulser.Epoch()
 	answer, err := c.gossiper.Call(ctx, address, &framer.Envelope{Body: &framer.Envelope_Sync{Sync: offer}})
 	if err != nil {
 		return // the membership finds out about hosts that do not answer
 	}
+	if c.pulser.Epoch() != epoch {
+		return // the answer may have waited while the process stood still
+	}
+	c.met.Store(int64(time.Since(c.born)))
 	got := answer.GetSynced()
 	c.surveyor.Merge(got.GetDemands(), time.Now())
 	for _, t := range got.GetTables() {
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -54,6 +54,12 @@
 	// double as they grow, so twice that may be in use.
 	bodyShare = 0.3
 
+	// confirmWithin bounds the time that requests wait after the process stood still.
+	// The store answers within tens of milliseconds, and another host is asked every
+	// 0.2 s; callers have waited for the whole pause already.
+	confirmWithin = time.Second
+	confirmPeriod = 5 * time.Millisecond
+
 	// shiftPart is the part of the allowed shift between regions that plans use.
 	// The rest is left to callers that move and to objects that differ in rate.
 	shiftPart = 0.5
--- a/internal/process/feeder/feeder.go
+++ b/internal/process/feeder/feeder.go
@@ -66,6 +66,14 @@
 	f.limit = l
 }
 
+// Resume says that the process stood still until now. The hosts that it knew to
+// answer may not be those that answer now, as after a start.
+func (f *Feeder) Resume(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.start = now
+}
+
 // Live sets the other hosts that answer.
 func (f *Feeder) Live(names []string) {
 	f.mu.Lock()
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -30,6 +30,9 @@
 	// ends within the bounds of the platform (2 s).
 	staleAfter = 1700 * time.Millisecond
 	idlePause  = 100 * time.Millisecond
+	// unknownAge is added to the age of an answer that arrived while the process stood
+	// still, for how long its clock may not have counted.
+	unknownAge = time.Hour
 	// tombstones bounds the remembered deletions. A host that lacks older ones
 	// gets the whole table.
 	tombstones = 4096
@@ -87,6 +90,7 @@
 	floor   uint64 // all deletions after this version are among the rows,
 	gap     gap    // but for those in the gap
 	heard   time.Time
+	doubts  int // how often the process stood still
 	failing bool
 }
 
@@ -122,6 +126,39 @@
 	return f.version
 }
 
+// Doubt says that the process stood still: the copy counts as confirmed at no time
+// until the store or another host confirms it again.
+func (f *Follower) Doubt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = time.Time{}
+	f.doubts++
+}
+
+// age returns the age of an answer to a call that began at a time, when the process
+// had stood still doubts times. An answer that was under way when the process stood
+// still is as old as the call.
+func (f *Follower) age(begun time.Time, doubts int) time.Duration {
+	if f.doubted() == doubts {
+		return 0
+	}
+	return unknownAge + time.Since(begun)
+}
+
+func (f *Follower) doubted() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.doubts
+}
+
+// Confirmed reports whether the store confirmed the copy at or after a time, and
+// whether calls to the store fail.
+func (f *Follower) Confirmed(since time.Time) (confirmed, failing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.heard.Before(since), f.failing
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := pauseFirst
@@ -167,10 +204,11 @@
 
 // step brings the copy forward by one call to the store.
 func (f *Follower) step(ctx context.Context) error {
-	version := f.Version()
+	version, begun, doubts := f.Version(), time.Now(), f.doubted()
 	if version > 0 {
 		page, err := f.source.Changes(ctx, f.table, version)
 		if err == nil {
+			page.Age = f.age(begun, doubts)
 			f.Merge(page, false)
 			return nil
 		}
@@ -183,6 +221,7 @@
 	if err != nil {
 		return err
 	}
+	page.Age = f.age(begun, doubts)
 	f.Merge(page, true)
 	return nil
 }
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -349,3 +349,54 @@
 	time.Sleep(s.takes)
 	return s.store.Read(ctx, table)
 }
+
+// pausing is a store during whose calls the process stands still when it is told so.
+type pausing struct {
+	*store
+	pauses chan func()
+}
+
+func (s *pausing) Changes(ctx context.Context, table string, after uint64) (follower.Page, error) {
+	p, err := s.store.Changes(ctx, table, after)
+	select {
+	case pause := <-s.pauses:
+		pause()
+	default:
+	}
+	return p, err
+}
+
+// Guards against an answer that waited while the process stood still and is taken for
+// what the store says now.
+func TestAnswerFromBeforeAPauseConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &pausing{store: newStore(), pauses: make(chan func(), 1)}
+		s.put("a", "1")
+		f := follower.New("t", s, 100*time.Millisecond, newTable())
+		go f.Run(t.Context())
+		time.Sleep(time.Second)
+		confirmed, failing := f.Confirmed(time.Now().Add(-100 * time.Millisecond))
+		assert.Assert(t, confirmed && !failing)
+
+		resumed := make(chan time.Time)
+		fail := func(err error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.down = err
+		}
+		s.pauses <- func() {
+			time.Sleep(5 * time.Second)
+			f.Doubt()
+			fail(errors.New("down"))
+			resumed <- time.Now()
+		}
+		at := <-resumed
+		synctest.Wait() // the answer of the call is merged
+		confirmed, failing = f.Confirmed(at)
+		assert.Assert(t, !confirmed && failing)
+		fail(nil)
+		time.Sleep(time.Second)
+		confirmed, _ = f.Confirmed(at)
+		assert.Assert(t, confirmed)
+	})
+}
--- a/internal/process/surveyor/surveyor.go
+++ b/internal/process/surveyor/surveyor.go
@@ -18,6 +18,8 @@
 	// lifetime is how long the demand of another host counts without news. It is
 	// a few times the period of the exchanges between hosts.
 	lifetime = 4 * time.Second
+	// busyMost is above what all upstreams of a service could be busy with.
+	busyMost = 1e6
 )
 
 // Surveyor keeps the demand. It is safe for concurrent use.
@@ -126,12 +128,23 @@
 	return out
 }
 
+// sound reports whether a demand can be summed up. One that is not a number would
+// spread to the plans of all services.
+func sound(d *framer.Demand) bool {
+	for _, b := range d.Busy {
+		if !(b >= 0 && b <= busyMost) {
+			return false
+		}
+	}
+	return len(d.Services) == len(d.Busy)
+}
+
 // Merge takes over what another host told, as far as it is newer.
 func (s *Surveyor) Merge(demands []*framer.Demand, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range demands {
-		if d.Host == s.host || len(d.Services) != len(d.Busy) {
+		if d.Host == s.host || !sound(d) {
 			continue
 		}
 		entries, key := s.hosts, d.Host
--- a/internal/process/surveyor/surveyor_test.go
+++ b/internal/process/surveyor/surveyor_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
 )
 
@@ -54,3 +55,21 @@
 	far.Tick(end.Add(5*time.Second), work)
 	assert.Equal(t, far.Busy("s", regions, true)[0], 0.0)
 }
+
+// Guards against one host whose demand is no number and so spoils the plans of all.
+func TestUnsoundDemandIsLeftOut(t *testing.T) {
+	now := time.Now()
+	for name, busy := range map[string]float32{
+		"no number": float32(math.NaN()), "infinite": float32(math.Inf(1)), "negative": -1, "too large": 1e9,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := surveyor.New("0", "a", now)
+			s.Merge([]*framer.Demand{
+				{Host: "1", Region: "a", Counter: 1, Services: []string{"s"}, Busy: []float32{busy}},
+				{Host: "2", Region: "a", Counter: 1, Services: []string{"s"}, Busy: []float32{3}},
+				{Host: "3", Region: "a", Counter: 1, Services: []string{"s", "t"}, Busy: []float32{3}},
+			}, now)
+			assert.Equal(t, s.Busy("s", []string{"a"}, true)[0], 3.0)
+		})
+	}
+}
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -36,6 +36,7 @@
 	choice   ranker.Choice
 	up       *registrar.Upstream
 	start    time.Time
+	epoch    uint64    // of the process, when the upstream was chosen
 	deadline time.Time // told to the upstream
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -135,6 +136,11 @@
 		a.conn.Close()
 		return err
 	}
+	if x.s.o.Pulse.Epoch() != a.epoch {
+		// The upstream may have left, and its limits may be others' by now.
+		a.conn.Close()
+		return errStale
+	}
 	if a.answer, err = a.conn.Do(a.ctx, r, a.deadline); err != nil {
 		return err
 	}
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -46,6 +46,7 @@
 	errExpired = classifier.Overloaded.New("no upstream could be reached before the deadline")
 	errLate    = classifier.TimedOut.New("no answer before the deadline")
 	errPanic   = classifier.Internal.New("the request met a fault in the code")
+	errStale   = classifier.NotReady.New("the process stood still between the choice of an upstream and the request")
 	errHedged  = errors.New("another attempt answered first")
 )
 
@@ -138,6 +139,9 @@
 	switch kind := classifier.Of(a.err); {
 	case kind == classifier.Unreachable:
 		x.sent-- // no byte of the request left the host
+	case a.err == errStale:
+		x.sent--
+		x.tried = slices.DeleteFunc(x.tried, func(u *registrar.Upstream) bool { return u == a.up })
 	case kind.Outcome() != classifier.NotRun:
 		x.doubt = a.err
 	}
@@ -168,7 +172,7 @@
 		return false
 	case x.call.Request.Body != nil && a.streamed:
 		return false
-	case kind == classifier.Unreachable:
+	case kind == classifier.Unreachable || a.err == errStale:
 		return true // nothing arrived anywhere
 	case x.sent >= x.route.Attempts:
 		return false
@@ -199,11 +203,13 @@
 
 // launch chooses an upstream and starts an attempt there.
 func (x *exchange) launch(results chan<- *attempt) error {
+	epoch := x.s.o.Pulse.Epoch()
+	x.s.o.Pulse.Await(x.ctx)
 	now := time.Now()
+	left := x.deadline.Sub(now)
 	if x.ctx.Err() != nil {
 		return errLeft
 	}
-	left := x.deadline.Sub(now)
 	if left <= 0 {
 		return errExpired
 	}
@@ -213,6 +219,7 @@
 		return classifier.Overloaded.New("no upstream of service %s has room before the deadline", x.service)
 	}
 	a := newAttempt(x, choice, now)
+	a.epoch = epoch
 	x.attempts = append(x.attempts, a)
 	x.tried = append(x.tried, choice.Upstream)
 	x.sent++
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -60,7 +60,16 @@
 	Cross(failing bool) bool
 }
 
-// Options configure a Steerer. All are needed, except Memory, Guard, Log and Meter.
+// Pulse knows when the process stood still.
+type Pulse interface {
+	// Epoch returns how often the process stood still so far.
+	Epoch() uint64
+	// Await waits until what the host believes was confirmed since then, or ctx
+	// ends.
+	Await(ctx context.Context)
+}
+
+// Options configure a Steerer. All are needed, except Memory, Guard, Pulse, Log and Meter.
 type Options struct {
 	Dialect Dialect
 	Table   func() *matcher.Table // nil without a configuration
@@ -77,10 +86,20 @@
 	// Guard runs f and reports whether it panicked; nil means that panics are not
 	// recovered.
 	Guard func(place string, f func()) bool
+	Pulse Pulse // nil if the process never stands still
 	Log   logger.Logger
 	Meter *meter.Meter
 }
 
+// steady is the Pulse of a process that never stands still.
+type steady struct{}
+
+// Epoch implements Pulse.
+func (steady) Epoch() uint64 { return 0 }
+
+// Await implements Pulse.
+func (steady) Await(context.Context) {}
+
 // Steerer serves calls. It is safe for concurrent use.
 type Steerer struct {
 	o        Options
@@ -95,6 +114,9 @@
 	if o.Guard == nil {
 		o.Guard = func(_ string, f func()) bool { f(); return false }
 	}
+	if o.Pulse == nil {
+		o.Pulse = steady{}
+	}
 	if o.Memory == nil {
 		o.Memory = new(reserver.Reserver)
 	}
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -65,6 +65,7 @@
 
 // upstream counts what it ran.
 type upstream struct {
+	id     string
 	ran    atomic.Int64
 	asked  atomic.Int64
 	handle http.HandlerFunc
@@ -123,6 +124,8 @@
 	second *upstream
 	steer  *steerer.Steerer
 	memory *reserver.Reserver
+	pulse  *pulse
+	remove func(id string)
 	dial   func() net.Conn
 }
 
@@ -133,11 +136,11 @@
 
 func newRig(t *testing.T, behave func(first, second *upstream)) *rig {
 	t.Helper()
-	g := &rig{t: t, memory: reserver.New(memoryMost)}
+	g := &rig{t: t, pulse: new(pulse), memory: reserver.New(memoryMost)}
 	reg := registrar.New(map[string]string{"z": "r"})
 	var ups []*upstream
 	for i := range 2 {
-		u := new(upstream)
+		u := &upstream{id: fmt.Sprint(i)}
 		u.handle = ok(u)
 		server := httptest.NewUnstartedServer(u)
 		server.Config.ErrorLog = nil
@@ -161,7 +164,7 @@
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: everywhere{},
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
 		Upstreams: reg, Ranker: ranker.New("r"),
-		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s, Memory: g.memory, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
+		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s, Memory: g.memory, Pulse: g.pulse, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -184,9 +187,13 @@
 	g.first.asked.Store(0)
 	g.first.ran.Store(0)
 	behave(g.first, g.second)
+	g.remove = func(id string) { reg.Remove(id, 2) }
 	return g
 }
 
+// removeFirst removes the upstream that the object goes to.
+func (g *rig) removeFirst() { g.remove(g.first.id) }
+
 func (g *rig) ask(method, path string, headers ...string) (*http.Response, string, error) {
 	c := g.dial()
 	text := method + " " + path + " HTTP/1.1\r\nHost: h\r\nId: 1\r\nObject: " + object + "\r\n" + strings.Join(headers, "")
