Answer what has arrived at a stop, and tell late second answers apart

A stop closed the listener with connections in its queue, which the kernel resets (TestStopAnswersWhatHasArrived: reset by peer with no last accepting), and closed connections without a request under way although one had arrived and was not read yet. Now the service ends by accepting what waits for 50 ms, then closes connections on which nothing was sent for 0.2 s and nothing is waiting.

An answer without an ID was taken for the one that was due, also on a connection that had carried a request before, where it may be a late second one. Such an answer is taken only on a new connection now; otherwise the connection is closed and the request fails as one that may have run. The look at a connection moved to a package that both sides use.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -10,7 +10,7 @@
 //	a := acceptor.New(acceptor.Options{Handler: h})
 //	go a.Serve(listener)
 //	a.Stop() // answers from now on close their connection
-//	a.Wait(ctx)
+//	a.Finish(ctx, listener)
 package acceptor
 
 import (
@@ -18,6 +18,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,14 @@
 	maxHeader = 1 << 20
 	// acceptPause is how long accepting rests when descriptors run out.
 	acceptPause = 20 * time.Millisecond
+	// acceptLast is how long connections are still accepted when the service ends. It
+	// empties the listener's queue.
+	acceptLast = 50 * time.Millisecond
+	// finishPeriod is how often idle connections are looked for when the service ends.
+	finishPeriod = 20 * time.Millisecond
+	// quietTime is how long nothing must have been sent on a connection that is closed
+	// then: the request of a caller that has just connected is on its way.
+	quietTime = 200 * time.Millisecond
 )
 
 func (l Limits) filled() Limits {
@@ -95,7 +104,9 @@
 type Acceptor struct {
 	options  Options
 	stopping atomic.Bool
-	active   atomic.Int64 // requests that were read and not answered
+	active   atomic.Int64  // requests that were read and not answered
+	accepted chan struct{} // closed when no further connection is accepted
+	once     sync.Once
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -116,14 +127,16 @@
 	if o.Memory == nil {
 		o.Memory = new(reserver.Reserver)
 	}
-	return &Acceptor{options: o, conns: make(map[*conn]struct{})}
+	return &Acceptor{options: o, conns: make(map[*conn]struct{}), accepted: make(chan struct{})}
 }
 
-// Serve accepts connections until the listener is closed, which is not an error.
+// Serve accepts connections until the listener is closed or Finish is called, which
+// is not an error.
 func (a *Acceptor) Serve(l net.Listener) error {
+	defer a.once.Do(func() { close(a.accepted) })
 	for {
 		raw, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil {
@@ -152,28 +165,47 @@
 func (a *Acceptor) Active() int { return int(a.active.Load()) }
 
 // Stop makes every connection close after the answer to the last request read
-// on it. Connections without a request stay open for CloseIdle.
+// on it. Connections without a request stay open for Finish.
 func (a *Acceptor) Stop() { a.stopping.Store(true) }
 
-// CloseIdle closes the connections on which no request is under way. Requests
-// that cross this close were not read.
-func (a *Acceptor) CloseIdle() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for c := range a.conns {
-		c.closeIdle()
-	}
+// Listener is a listener whose Accept can be ended without closing it.
+type Listener interface {
+	net.Listener
+	SetDeadline(t time.Time) error
 }
 
-// Wait waits until all connections have ended, or ctx ends.
-func (a *Acceptor) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		a.wg.Wait()
-		close(done)
-	}()
+// Finish ends the service without cutting off what callers sent: it accepts the
+// connections that wait in the listener's queue, closes the listener, closes
+// connections on which nothing was sent for a moment, and waits until all have ended,
+// or ctx ends. Serve returns meanwhile.
+func (a *Acceptor) Finish(ctx context.Context, l Listener) {
+	a.Stop()
+	// A failure means that the listener is closed already.
+	_ = l.SetDeadline(time.Now().Add(acceptLast))
 	select {
-	case <-done:
+	case <-a.accepted:
 	case <-ctx.Done():
 	}
+	_ = l.Close()
+	ticker := time.NewTicker(finishPeriod)
+	defer ticker.Stop()
+	for a.closeIdle(time.Now()) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	a.wg.Wait()
+}
+
+// closeIdle closes the connections on which no request is under way or arriving, and
+// returns how many are left. Requests that cross this close were not read.
+func (a *Acceptor) closeIdle(now time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.closeIdle(now)
+	}
+	return len(a.conns)
 }
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -61,13 +61,19 @@
 }
 
 func start(t *testing.T, h acceptor.Handler) (*acceptor.Acceptor, func() net.Conn) {
+	t.Helper()
+	a, _, dial := open(t, h)
+	return a, dial
+}
+
+func open(t *testing.T, h acceptor.Handler) (*acceptor.Acceptor, *net.TCPListener, func() net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	a := acceptor.New(acceptor.Options{Handler: h, Repeatable: func(r *http.Request) bool { return r.Method == http.MethodGet }})
 	go func() { _ = a.Serve(l) }()
 	t.Cleanup(func() { _ = l.Close() })
-	return a, func() net.Conn {
+	return a, l.(*net.TCPListener), func() net.Conn {
 		c, err := net.Dial("tcp", l.Addr().String())
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = c.Close() })
@@ -171,7 +177,7 @@
 // Guards against a stop that loses a request which was read, or an answer.
 func TestStopFinishesWhatWasRead(t *testing.T) {
 	h := newHandler()
-	a, dial := start(t, h)
+	a, l, dial := open(t, h)
 	busy, idle := dial(), dial()
 	send(t, idle, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
 	idleReader := bufio.NewReader(idle)
@@ -179,8 +185,13 @@
 	<-h.started
 	send(t, busy, "GET /slow/1 HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-h.started
-	a.Stop()
-	a.CloseIdle()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	finished := make(chan struct{})
+	go func() {
+		a.Finish(ctx, l)
+		close(finished)
+	}()
 	_, err := idleReader.ReadByte()
 	assert.Equal(t, err, io.EOF)
 	assert.Equal(t, a.Active(), 1)
@@ -188,12 +199,54 @@
 	r, body := read(t, bufio.NewReader(busy))
 	assert.Equal(t, body, "/slow/1 ")
 	assert.Assert(t, r.Close)
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
-	a.Wait(ctx)
+	<-finished
 	assert.NilError(t, ctx.Err())
 }
 
+// Guards against a stop under load that cuts off requests which have just been
+// accepted: those whose connection waits in the listener's queue, those that arrived
+// and have not been read, and those of callers that have just connected.
+func TestStopAnswersWhatHasArrived(t *testing.T) {
+	const callers = 60
+	h := newHandler()
+	close(h.release)
+	go func() {
+		for range h.started {
+		}
+	}()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a := acceptor.New(acceptor.Options{Handler: h})
+	kept := make([]net.Conn, callers)
+	for i := range kept {
+		kept[i], err = net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer kept[i].Close()
+		if i%3 > 0 {
+			send(t, kept[i], "GET /early HTTP/1.1\r\nHost: a\r\n\r\n")
+		}
+	}
+	// All connections are in the queue when the stop begins.
+	a.Stop()
+	finished := make(chan struct{})
+	go func() {
+		a.Finish(t.Context(), l.(*net.TCPListener))
+		close(finished)
+	}()
+	go func() { _ = a.Serve(l) }()
+	for i, c := range kept {
+		if i%3 == 0 {
+			send(t, c, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+		}
+	}
+	for _, c := range kept {
+		r, _ := read(t, bufio.NewReader(c))
+		assert.Equal(t, r.StatusCode, http.StatusOK)
+		assert.Assert(t, r.Close)
+	}
+	<-finished
+}
+
 // Guards against an idle connection that is closed while its caller may still
 // use it after a stop began.
 func TestStoppingHostAnswersKeptConnections(t *testing.T) {
@@ -340,10 +393,7 @@
 		})
 	}
 	wg.Wait()
-	_ = l.Close()
-	a.Stop()
-	a.CloseIdle()
-	a.Wait(t.Context())
+	a.Finish(t.Context(), l.(*net.TCPListener))
 	assert.Assert(t, memory.Peak() > 0 && memory.Peak() <= most, "%d", memory.Peak())
 	assert.Equal(t, memory.Used(), int64(0))
 }
--- a/internal/connection/acceptor/answer.go
+++ b/internal/connection/acceptor/answer.go
@@ -182,6 +182,7 @@
 	}
 	c.mu.Lock()
 	c.under--
+	c.since = time.Now()
 	wakes := a.broken || a.closes || (c.closing && c.under == 0)
 	if a.broken || a.closes {
 		c.closing = true
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -11,6 +11,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
 )
 
 const (
@@ -45,10 +47,11 @@
 	reading  bool // a request is being read
 	closing  bool // no further request is read
 	headSize int
+	since    time.Time // when it was accepted or answered last
 }
 
 func newConn(a *Acceptor, raw net.Conn) *conn {
-	c := &conn{a: a, raw: raw}
+	c := &conn{a: a, raw: raw, since: time.Now()}
 	c.headSize = a.options.Limits().filled().Header
 	c.br = bufio.NewReaderSize(raw, c.headSize)
 	c.bw = bufio.NewWriterSize(raw, writeSize)
@@ -56,10 +59,12 @@
 	return c
 }
 
-func (c *conn) closeIdle() {
+// closeIdle closes the connection if nothing was sent on it for a moment. Bytes that
+// have arrived are a request that has yet to be read.
+func (c *conn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.under == 0 && !c.reading {
+	if c.under == 0 && !c.reading && now.Sub(c.since) >= quietTime && peeker.Quiet(c.raw) {
 		c.closing = true
 		_ = c.raw.Close()
 	}
--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -64,7 +65,7 @@
 
 // usable reports whether a kept connection may carry another request.
 func (c *Conn) usable() bool {
-	return time.Since(c.since) < c.idle && c.br.Buffered() == 0 && peek(c.conn)
+	return time.Since(c.since) < c.idle && c.br.Buffered() == 0 && peeker.Quiet(c.conn)
 }
 
 var heads = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -100,6 +101,7 @@
 	writeHead(head, r)
 	begun := time.Now()
 	c.busy = true
+	reused := c.used
 	n, err := c.conn.Write(head.Bytes())
 	if err != nil {
 		if n == 0 {
@@ -114,10 +116,11 @@
 			c.suspect(note(err), begun)
 			return nil, classifier.Failed.Wrap(note(err), "upstream "+c.address())
 		}
-		if c.sender.options.Own(r.Header, answer.Header) {
+		match := c.sender.options.Match(r.Header, answer.Header)
+		if match == Same || match == Unnamed && !reused {
 			return answer, nil
 		}
-		if unending(answer) {
+		if match == Unnamed || unending(answer) {
 			break
 		}
 		if _, err := io.CopyN(io.Discard, answer.Body, skipBytes); err != io.EOF {
--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -17,9 +17,9 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -44,11 +44,22 @@
 	Idle time.Duration
 	// Header bounds the header of an answer in bytes.
 	Header int
-	// Own returns whether the ID of an answer is the one of its request. The
-	// default accepts all.
-	Own func(request, answer Header) bool
+	// Match compares the ID of an answer with the one of its request. The default
+	// finds that all belong together.
+	Match func(request, answer Header) Match
 }
 
+// Match says whether an answer belongs to a request.
+type Match int
+
+// The results of a comparison. An answer without an ID may be a late second one to an
+// earlier request, if the connection carried one.
+const (
+	Same Match = iota
+	Other
+	Unnamed
+)
+
 // Header gives the values of a message's header.
 type Header interface{ Get(name string) string }
 
@@ -77,8 +88,8 @@
 	if o.Dial == nil {
 		o.Dial = new(net.Dialer).DialContext
 	}
-	if o.Own == nil {
-		o.Own = func(Header, Header) bool { return true }
+	if o.Match == nil {
+		o.Match = func(Header, Header) Match { return Same }
 	}
 	o.Open = cmp.Or(o.Open, defaultDial)
 	o.Idle = cmp.Or(o.Idle, defaultIdle)
@@ -212,13 +223,14 @@
 	}
 }
 
-// expire closes the connections that are idle for too long.
+// expire closes the connections that are idle for too long, were closed by the
+// upstream, or received what nobody asked for.
 func (g *group) expire() {
 	g.mu.Lock()
 	var old []*Conn
 	kept := g.idle[:0]
 	for _, c := range g.idle {
-		if time.Since(c.since) >= c.idle {
+		if time.Since(c.since) >= c.idle || !peeker.Quiet(c.conn) {
 			old = append(old, c)
 		} else {
 			kept = append(kept, c)
@@ -231,23 +243,3 @@
 		_ = c.conn.Close()
 	}
 }
-
-// peek reports whether the connection is open and has nothing to read.
-func peek(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	// RawConn.Read would fail after the deadline of the last request.
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, failure := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = failure == syscall.EAGAIN
-	})
-	return err == nil && quiet
-}
--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -62,8 +62,15 @@
 
 func newSender(t *testing.T) *sender.Sender {
 	t.Helper()
-	s := sender.New(sender.Options{Own: func(request, answer sender.Header) bool {
-		return answer.Get("Id") == "" || answer.Get("Id") == request.Get("Id")
+	s := sender.New(sender.Options{Match: func(request, answer sender.Header) sender.Match {
+		switch answer.Get("Id") {
+		case request.Get("Id"):
+			return sender.Same
+		case "":
+			return sender.Unnamed
+		default:
+			return sender.Other
+		}
 	}})
 	t.Cleanup(s.Close)
 	return s
@@ -73,8 +80,10 @@
 // a grown day 1.2 in 100 requests, most of them orders, were reset after 0.16 s of
 // idleness, one after the other.
 func TestForgottenConnectionsAreNotTrusted(t *testing.T) {
-	ok := answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-	address, _ := upstream(t, ok, ok, cut(""), ok, ok)
+	ok := func(id string) func(net.Conn) {
+		return answer("HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok")
+	}
+	address, _ := upstream(t, ok("1"), ok("2"), cut(""), ok("4"), ok("5"))
 	s := newSender(t)
 	get := func(id string) error {
 		_, err := do(t, s, address, id)
@@ -182,6 +191,56 @@
 	assert.Equal(t, s.Opened(), int64(1))
 }
 
+// Guards against late second answers on a connection that is in use again, in the
+// forms that the request's ID does not tell apart: one without an ID, which may belong
+// to the request before, and one that arrives between the look for unread bytes and
+// the request. The next request must never get them.
+func TestLateSecondAnswers(t *testing.T) {
+	const nameless = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+	const own = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nown"
+	for name, c := range map[string]struct {
+		script []func(net.Conn)
+		want   string // "" for an error
+	}{
+		"without an ID, alone":            {[]func(net.Conn){answer(first), answer(nameless)}, ""},
+		"without an ID, before the own":   {[]func(net.Conn){answer(first), answer(nameless + own)}, ""},
+		"with its ID, before the own":     {[]func(net.Conn){answer(first), answer(first + own)}, "own"},
+		"with its ID, many":               {[]func(net.Conn){answer(first), answer(first + first + first + first + own)}, ""},
+		"without an end, before the own":  {[]func(net.Conn){answer(first), answer("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + own)}, ""},
+		"first request, without an ID":    {[]func(net.Conn){answer(nameless), answer(own)}, "own"},
+		"with the ID of neither of them":  {[]func(net.Conn){answer(first), answer("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n" + own)}, "own"},
+		"a failure without an ID, before": {[]func(net.Conn){answer(first), answer("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" + own)}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := upstream(t, c.script...)
+			s := newSender(t)
+			body, err := do(t, s, address, "1")
+			assert.NilError(t, err)
+			assert.Equal(t, body, "first")
+			body, err = do(t, s, address, "2")
+			assert.Equal(t, body, c.want, "%v", err)
+			if c.want == "" {
+				assert.Equal(t, classifier.Of(err), classifier.Crossed, "%v", err)
+			}
+		})
+	}
+}
+
+// Guards against bytes that arrive on an idle connection and are kept until it is used.
+func TestIdleConnectionThatReceivesIsClosed(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := upstream(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, first)
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, first)
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+	})
+	_, err := do(t, newSender(t), address, "1")
+	assert.NilError(t, err)
+	<-closed
+}
+
 // Guards against a request that is sent again by itself after its connection
 // broke, and against an error kind that says it did not run.
 func TestLostAnswerMayHaveRun(t *testing.T) {
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -170,7 +170,7 @@
 	c.budget = budgeter.New(s.Budget, c.fleet)
 	c.ranker = ranker.New(s.Region)
 	c.sender = sender.New(sender.Options{
-		Dial: dialer(upstreamSilence).DialContext, Open: openWithin, Idle: idleWithin, Own: c.own,
+		Dial: dialer(upstreamSilence).DialContext, Open: openWithin, Idle: idleWithin, Match: c.match,
 	})
 	c.meter.Derive(meter.Dials, c.sender.Opened)
 	memory := reserver.New(int64(bodyShare * float64(s.Memory)))
@@ -194,11 +194,16 @@
 	return c, nil
 }
 
-// own reports whether an answer belongs to a request. An answer without an ID
-// says nothing.
-func (c *Conductor) own(request, answer sender.Header) bool {
-	id := c.platform.Identity(answer.(http.Header))
-	return id == "" || id == c.platform.Identity(request.(http.Header))
+// match compares the ID of an answer with the one of its request.
+func (c *Conductor) match(request, answer sender.Header) sender.Match {
+	switch c.platform.Identity(answer.(http.Header)) {
+	case c.platform.Identity(request.(http.Header)):
+		return sender.Same
+	case "":
+		return sender.Unnamed
+	default:
+		return sender.Other
+	}
 }
 
 func (c *Conductor) limits() acceptor.Limits {
@@ -214,7 +219,7 @@
 // look-ups, serves callers with a cached look-up for a while, and lets every
 // request in flight finish.
 func (c *Conductor) Run(ctx context.Context) error {
-	front, err := net.Listen("tcp", c.settings.Front)
+	front, err := listenFront(c.settings.Front)
 	if err != nil {
 		c.log.Event(logger.ListenFailed).Err(err).Send()
 		return err
@@ -245,6 +250,14 @@
 	return err
 }
 
+func listenFront(address string) (acceptor.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
 // listen opens the listeners other than the one for callers.
 func (c *Conductor) listen(ctx context.Context, g *errgroup.Group) error {
 	peers, err := net.Listen("tcp", c.settings.Peer)
@@ -322,7 +335,7 @@
 }
 
 // stop ends the work of the host in order.
-func (c *Conductor) stop(ctx context.Context, front net.Listener) {
+func (c *Conductor) stop(ctx context.Context, front acceptor.Listener) {
 	begun, grace := time.Now(), time.Duration(c.grace.Load())
 	c.log.Event(logger.HostLeaving).Int("flight", c.acceptor.Active()).Send()
 	c.stopped.Store(true)
@@ -330,11 +343,9 @@
 	c.acceptor.Stop()
 	c.tellAll(ctx)
 	sleeper.Sleep(ctx, time.Duration(stopLinger*float64(grace)))
-	_ = front.Close()
 	hard, cancel := context.WithDeadline(ctx, begun.Add(grace-stopMargin))
 	defer cancel()
-	c.acceptor.CloseIdle()
-	c.acceptor.Wait(hard)
+	c.acceptor.Finish(hard, front)
 	if n := c.acceptor.Active(); n > 0 {
 		c.log.Event(logger.WorkCutOff).Int("count", n).Send()
 	}
