Begin with the newest table while the store fails, and read the hosts' rows less

Cause 1: a host that starts while the store fails took the first whole table that another host offered, also of one that had been paused or cut off, with upstreams that had left since (TestFirstTableIsTheNewest fails without the change). Now it takes one that the store confirmed in the last 1.7 s at once, and otherwise the newest of those offered within 1 s.

Each host read the rows of all hosts every 15 s: 20 calls a second with 295 hosts. Hosts that hear each other learn of new ones by the membership, so the period grows with the live hosts now.

--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -48,14 +48,26 @@
 				c.log.Event(logger.StoreFailed).Str("call", "announce").Err(err).Send()
 			}
 		}
-		if hosts, err := c.platform.Hosts(call); err != nil {
+		hosts, err := c.platform.Hosts(call)
+		if err != nil {
 			c.log.Event(logger.StoreFailed).Str("call", "hosts").Err(err).Send()
 		} else {
 			c.addSeeds(hosts)
 		}
 		cancel()
-		sleeper.Sleep(ctx, announcePeriod/2+rand.N(announcePeriod))
+		pause := announcePause(len(c.live()), announced && err == nil)
+		sleeper.Sleep(ctx, pause/2+rand.N(pause))
+	}
+}
+
+// announcePause returns the mean time until a host that hears live others reads the
+// recorded hosts again. Those that hear each other learn of new hosts by the
+// membership, so the whole fleet makes about as many calls as two hosts would.
+func announcePause(live int, done bool) time.Duration {
+	if !done {
+		return announcePeriod
 	}
+	return announcePeriod * time.Duration(max(1, (live+1)/2))
 }
 
 func (c *Conductor) addSeeds(hosts []Host) {
--- a/internal/process/conductor/fleet_internal_test.go
+++ b/internal/process/conductor/fleet_internal_test.go
@@ -73,3 +73,13 @@
 		})
 	}
 }
+
+// Guards against calls to the store that grow with the hosts: 295 hosts made 20 a second
+// to read the rows of each other, the most of all calls of a quiet day.
+func TestCallsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, hosts := range []int{1, 2, 9, 84, 295, 5500} {
+		perSecond := float64(hosts) / announcePause(hosts-1, true).Seconds()
+		assert.Assert(t, perSecond <= 0.21, "%d hosts: %v", hosts, perSecond)
+	}
+	assert.Equal(t, announcePause(5499, false), announcePeriod)
+}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -30,6 +30,9 @@
 	// ends within the bounds of the platform (2 s).
 	staleAfter = 1700 * time.Millisecond
 	idlePause  = 100 * time.Millisecond
+	// compareTime is how long a host without a copy compares the tables that other
+	// hosts offer before it takes an old one. It meets another host every 0.2 s.
+	compareTime = time.Second
 	// unknownAge is added to the age of an answer that arrived while the process stood
 	// still, for how long its clock may not have counted.
 	unknownAge = time.Hour
@@ -92,6 +95,13 @@
 	heard   time.Time
 	doubts  int // how often the process stood still
 	failing bool
+	offer   offer
+}
+
+// offer is the newest whole table that other hosts offered to a host without a copy.
+type offer struct {
+	page  Page
+	since time.Time // of the first offer, zero without one
 }
 
 // gap is a span of versions, without its ends. A copy of a version inside may hold
@@ -235,8 +245,14 @@
 		return // an answer that was overtaken
 	}
 	first := f.version == 0
-	if first && !whole {
-		return
+	if first {
+		if !whole {
+			return
+		}
+		var ok bool
+		if p, ok = f.compare(p, time.Now()); !ok {
+			return
+		}
 	}
 	if heard := time.Now().Add(-p.Age); heard.After(f.heard) {
 		f.heard = heard
@@ -248,6 +264,25 @@
 	}
 }
 
+// compare returns the whole table to begin with, if there is one yet. A host that
+// starts while the store fails gets its first table from others, of which one may have
+// been cut off or paused: what it names may have left long since. One that the store
+// confirmed lately is taken at once, otherwise the newest of those offered for some
+// time. Called with mu held.
+func (f *Follower) compare(p Page, now time.Time) (Page, bool) {
+	if f.offer.since.IsZero() {
+		f.offer = offer{p, now}
+	}
+	if p.Version >= f.offer.page.Version {
+		f.offer.page = p
+	}
+	if p.Age > staleAfter && now.Sub(f.offer.since) < compareTime {
+		return Page{}, false
+	}
+	p, f.offer = f.offer.page, offer{}
+	return p, true
+}
+
 // apply changes the copy and returns the rows that are new. Called with mu held.
 func (f *Follower) apply(p Page, whole bool) (changed []Row) {
 	for _, r := range p.Rows {
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -400,3 +403,44 @@
 		assert.Assert(t, confirmed)
 	})
 }
+
+// Guards against a host that starts while the store fails and begins with the table of
+// one that was paused or cut off: an upstream that had left was in use again.
+func TestFirstTableIsTheNewest(t *testing.T) {
+	page := func(version uint64, age time.Duration, keys ...string) follower.Page {
+		p := follower.Page{Version: version, Age: age}
+		for _, k := range keys {
+			p.Rows = append(p.Rows, follower.Row{Key: k, Value: []byte("1"), Version: 1})
+		}
+		return p
+	}
+	stale, newer, fresh := page(5, time.Minute, "gone", "kept"), page(9, 20*time.Second, "kept"), page(9, time.Second, "kept")
+	for name, c := range map[string]struct {
+		offers []follower.Page // one every 0.2 s
+		want   string
+		at     time.Duration // when the first table is taken
+	}{
+		"stale, then newer":       {[]follower.Page{stale, newer, stale, stale, stale, stale}, "kept", time.Second},
+		"newer, then stale":       {[]follower.Page{newer, stale, stale, stale, stale, stale}, "kept", time.Second},
+		"stale, then confirmed":   {[]follower.Page{stale, fresh}, "kept", 200 * time.Millisecond},
+		"confirmed":               {[]follower.Page{fresh}, "kept", 0},
+		"nothing but a stale one": {[]follower.Page{stale, stale, stale, stale, stale, stale}, "gone kept", time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTable()
+				f := follower.New("t", newStore(), time.Second, w)
+				begun := time.Now()
+				for _, p := range c.offers {
+					f.Merge(p, true)
+					if f.Version() > 0 {
+						break
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				assert.Equal(t, time.Since(begun), c.at)
+				assert.Equal(t, strings.Join(slices.Sorted(maps.Keys(w.rows)), " "), c.want)
+			})
+		})
+	}
+}
