Take no request later in a stop than it has time for, and bound frames that are read

The time for new requests also was half of the time until the kill however long that is. Now it ends when callers with a cached look-up have a new one (lifetime and 1 s), at most at that half, and what Finish still accepts lies within it.

Cause 2: 256 exchanges with frames of 4 MiB each could take more memory than the smallest host has. All frames that are being read take at most 16 MiB now; a stated length alone takes 64 KiB.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -26,6 +26,9 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 )
 
+// FinishTime is how long after Finish was called a new request may still be taken.
+const FinishTime = acceptLast + quietTime + finishPeriod
+
 // Limits bounds what a caller may send.
 type Limits struct {
 	Header       int           // bytes of a request's header
--- a/internal/connection/framer/framer.go
+++ b/internal/connection/framer/framer.go
@@ -10,12 +10,16 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
 // MaxSize is the largest encoded Envelope in bytes.
 const MaxSize = 4 << 20
 
+// part is the most memory that a stated length takes before its bytes arrive.
+const part = 64 << 10
+
 // MaxNote is the largest encoded release note in bytes. It leaves room in a
 // frame for the membership updates and chains that travel with a note.
 const MaxNote = MaxSize - 64<<10
@@ -23,12 +27,19 @@
 // Framer reads and writes Envelopes on one stream. Reads and writes may run at
 // the same time; two reads or two writes may not.
 type Framer struct {
-	r *bufio.Reader
-	w io.Writer
+	r      *bufio.Reader
+	w      io.Writer
+	memory *reserver.Reserver
 }
 
-// New returns a Framer on the stream.
-func New(rw io.ReadWriter) *Framer { return &Framer{r: bufio.NewReader(rw), w: rw} }
+// New returns a Framer on the stream. Memory bounds the frames that are being read; nil
+// means no bound.
+func New(rw io.ReadWriter, memory *reserver.Reserver) *Framer {
+	if memory == nil {
+		memory = new(reserver.Reserver)
+	}
+	return &Framer{r: bufio.NewReader(rw), w: rw, memory: memory}
+}
 
 // Write writes one Envelope in one call to the stream's Write. An Envelope
 // above MaxSize is an error of kind TooLarge and nothing is written.
@@ -51,8 +62,8 @@
 
 // Read reads one Envelope. It returns io.EOF if the stream ends before the
 // first byte, an error of kind Truncated if it ends later, of kind TooLarge if
-// the stated length is above MaxSize, and of kind BadRequest if the length or
-// the content is malformed.
+// the stated length is above MaxSize, of kind Overloaded if no memory is free for it,
+// and of kind BadRequest if the length or the content is malformed.
 func (f *Framer) Read() (*Envelope, error) {
 	size, err := f.readSize()
 	if err != nil {
@@ -64,12 +75,15 @@
 	// The buffer grows with what arrives, so a stated length alone takes no
 	// memory.
 	var buf bytes.Buffer
-	n, err := io.CopyN(&buf, f.r, int64(size))
-	if err == io.EOF {
-		return nil, classifier.Truncated.New("frame ends after %d of %d bytes", n, size)
-	}
-	if err != nil {
+	held, whole, err := f.memory.Fill(&buf, io.LimitReader(f.r, int64(size)), min(int64(size), part), MaxSize)
+	defer f.memory.Give(held)
+	switch {
+	case err != nil:
 		return nil, classifier.Failed.Wrap(err, "read envelope")
+	case !whole:
+		return nil, classifier.Overloaded.New("no memory is free for a frame of %d bytes", size)
+	case buf.Len() < int(size):
+		return nil, classifier.Truncated.New("frame ends after %d of %d bytes", buf.Len(), size)
 	}
 	e := new(Envelope)
 	if err := proto.Unmarshal(buf.Bytes(), e); err != nil {
--- a/internal/connection/framer/framer_test.go
+++ b/internal/connection/framer/framer_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -28,11 +29,11 @@
 		"malformed fields": {[]byte{2, 0xff, 0xff}, classifier.BadRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := framer.New(bytes.NewBuffer(c.in)).Read()
+			_, err := framer.New(bytes.NewBuffer(c.in), nil).Read()
 			assert.Equal(t, classifier.Of(err), c.kind, "%v", err)
 		})
 	}
-	_, err := framer.New(new(bytes.Buffer)).Read()
+	_, err := framer.New(new(bytes.Buffer), nil).Read()
 	assert.Equal(t, err, io.EOF)
 }
 
@@ -40,7 +41,7 @@
 // accepts.
 func TestWriteRefusesLarge(t *testing.T) {
 	var buf bytes.Buffer
-	err := framer.New(&buf).Write(&framer.Envelope{From: string(make([]byte, framer.MaxSize+1))})
+	err := framer.New(&buf, nil).Write(&framer.Envelope{From: string(make([]byte, framer.MaxSize+1))})
 	assert.Equal(t, classifier.Of(err), classifier.TooLarge)
 	assert.Equal(t, buf.Len(), 0)
 }
@@ -49,18 +50,47 @@
 // when they are written and read again.
 func FuzzRead(f *testing.F) {
 	var buf bytes.Buffer
-	assert.NilError(f, framer.New(&buf).Write(&framer.Envelope{From: "h1", Body: &framer.Envelope_Digest{Digest: &framer.Digest{Version: 7}}}))
+	assert.NilError(f, framer.New(&buf, nil).Write(&framer.Envelope{From: "h1", Body: &framer.Envelope_Digest{Digest: &framer.Digest{Version: 7}}}))
 	f.Add(buf.Bytes())
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 1})
 	f.Fuzz(func(t *testing.T, in []byte) {
-		e, err := framer.New(bytes.NewBuffer(in)).Read()
+		e, err := framer.New(bytes.NewBuffer(in), nil).Read()
 		if err != nil {
 			return
 		}
 		var out bytes.Buffer
-		assert.NilError(t, framer.New(&out).Write(e))
-		again, err := framer.New(&out).Read()
+		assert.NilError(t, framer.New(&out, nil).Write(e))
+		again, err := framer.New(&out, nil).Read()
 		assert.NilError(t, err)
 		assert.Assert(t, proto.Equal(e, again))
 	})
 }
+
+// Guards against other hosts whose frames take more memory than is set aside for them,
+// and against memory that stays taken.
+func TestFramesAreBounded(t *testing.T) {
+	var long bytes.Buffer
+	assert.NilError(t, framer.New(&long, nil).Write(&framer.Envelope{From: string(bytes.Repeat([]byte("x"), 1<<20))}))
+	for name, c := range map[string]struct {
+		memory int64
+		in     []byte
+		want   classifier.Kind
+	}{
+		"fits":          {2 << 20, long.Bytes(), 0},
+		"does not fit":  {1 << 19, long.Bytes(), classifier.Overloaded},
+		"only a length": {1 << 19, long.Bytes()[:3], classifier.Truncated},
+		"half":          {2 << 20, long.Bytes()[:1<<19], classifier.Truncated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			memory := reserver.New(c.memory)
+			_, err := framer.New(bytes.NewBuffer(c.in), memory).Read()
+			if c.want == 0 {
+				assert.NilError(t, err)
+			} else {
+				assert.Equal(t, classifier.Of(err), c.want, "%v", err)
+			}
+			assert.Equal(t, memory.Used(), int64(0))
+			assert.Assert(t, memory.Peak() <= c.memory)
+		})
+	}
+}
--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -33,6 +34,9 @@
 	// maxWindow lets the largest frame cross in few round trips: at 110 ms
 	// the initial window of 256 KiB would need 16 of them.
 	maxWindow = framer.MaxSize
+	// framesMost bounds the frames that are being read, of all hosts together: four of
+	// the largest, or 256 of the first 64 KiB.
+	framesMost = 4 * framer.MaxSize
 )
 
 // Handler answers one envelope. An error is sent to the caller by its kind.
@@ -46,6 +50,7 @@
 	security security
 	handler  Handler
 	guard    guard
+	memory   *reserver.Reserver // of frames that are being read
 	served   chan struct{}
 	sessions chan struct{}
 	meter    meter
@@ -70,6 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Linker{
 		security: sec, handler: handler, ctx: ctx, cancel: cancel,
+		memory:   reserver.New(framesMost),
 		guard:    func(_ string, f func()) bool { f(); return false },
 		served:   make(chan struct{}, maxServed),
 		sessions: make(chan struct{}, maxSessions),
@@ -195,7 +201,7 @@
 	}
 	ctx, cancel := context.WithDeadline(l.ctx, deadline)
 	defer cancel()
-	f := framer.New(stream)
+	f := framer.New(stream, l.memory)
 	request, err := f.Read()
 	if err != nil {
 		return
@@ -240,7 +246,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := exchange(ctx, s, e)
+	reply, err := exchange(ctx, s, e, l.memory)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/linker/peer.go
+++ b/internal/connection/linker/peer.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/yamux"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -122,7 +123,7 @@
 	}
 }
 
-func exchange(ctx context.Context, s *link, e *framer.Envelope) (*framer.Envelope, error) {
+func exchange(ctx context.Context, s *link, e *framer.Envelope, memory *reserver.Reserver) (*framer.Envelope, error) {
 	before := s.conn.arrived.Load()
 	stream, err := s.session.OpenStream()
 	if err != nil {
@@ -131,7 +132,7 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	f := framer.New(stream)
+	f := framer.New(stream, memory)
 	err = f.Write(e)
 	if classifier.Of(err) == classifier.TooLarge {
 		return nil, err
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -334,6 +334,15 @@
 		Float64("retries", s.Budget.Ratio).Float64("shift", s.Shift).Float64("cold", s.Cold.Factor).Send()
 }
 
+// linger returns how long a host that stops serves new requests: until callers with a
+// cached look-up have a new one, and at most for a part of the time until it is killed.
+// What Finish still accepts is within that time, so that the last request has as long
+// as it was meant to have.
+func linger(grace, lifetime time.Duration) time.Duration {
+	most := time.Duration(stopLinger * float64(grace))
+	return max(0, min(most, lifetime+toldWithin)-acceptor.FinishTime)
+}
+
 // stop ends the work of the host in order.
 func (c *Conductor) stop(ctx context.Context, front acceptor.Listener) {
 	begun, grace := time.Now(), time.Duration(c.grace.Load())
@@ -342,7 +351,7 @@
 	c.gossiper.SetReady(false)
 	c.acceptor.Stop()
 	c.tellAll(ctx)
-	sleeper.Sleep(ctx, time.Duration(stopLinger*float64(grace)))
+	sleeper.Sleep(ctx, linger(grace, time.Duration(c.lifetime.Load())))
 	hard, cancel := context.WithDeadline(ctx, begun.Add(grace-stopMargin))
 	defer cancel()
 	c.acceptor.Finish(hard, front)
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -72,6 +72,9 @@
 	// still serves callers with a cached look-up. The rest is for requests in
 	// flight.
 	stopLinger = 0.5
+	// toldWithin is how long it takes until no look-up names a host that stops: it tells
+	// 16 others at once, and the rest hear of it by exchanges.
+	toldWithin = time.Second
 	// stopMargin is the time that is left to tell the other hosts and to end the
 	// process, which takes some 0.1 s on a slow host.
 	stopMargin = leaveWithin + 200*time.Millisecond
--- a/internal/process/conductor/reload_internal_test.go
+++ b/internal/process/conductor/reload_internal_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
 	"dandeliontrack.example/dandeliontrack/internal/process/feeder"
@@ -48,3 +49,22 @@
 func TestStopLeavesTimeToTellOthers(t *testing.T) {
 	assert.Assert(t, stopMargin > leaveWithin)
 }
+
+// Guards against requests that a host takes so late in its stop that they are given up: a
+// look-up taken 3.02 s after the signal was cut off at 5.55 s of 6 (velodesk-be, trouble-2
+// with seed 289245185654).
+func TestLastRequestOfAStop(t *testing.T) {
+	for name, c := range map[string]struct {
+		grace, lifetime, last time.Duration
+	}{
+		"small":          {6 * time.Second, 2 * time.Second, 3 * time.Second},
+		"long grace":     {time.Minute, 2 * time.Second, 3 * time.Second},
+		"short look-ups": {6 * time.Second, 500 * time.Millisecond, 1500 * time.Millisecond},
+		"short grace":    {2 * time.Second, 2 * time.Second, time.Second},
+		"no grace":       {0, 2 * time.Second, acceptor.FinishTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, linger(c.grace, c.lifetime)+acceptor.FinishTime, c.last)
+		})
+	}
+}
