End the wait after a pause when nobody answers, and use the usual terms

Found by reading.

Names: watchdog, heartbeat and pauses for what was called pulser and pulse; TryAcquire and Release of reserved memory.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -158,7 +158,7 @@
 // forget gives back the memory of a request, if one was read.
 func (c *conn) forget(call *Call) {
 	if call != nil {
-		c.a.options.Memory.Give(call.held)
+		c.a.options.Memory.Release(call.held)
 	}
 }
 
@@ -244,7 +244,7 @@
 	held, whole, err := c.a.options.Memory.Fill(&b, body, r.ContentLength, wholeBody)
 	call.held = held
 	if err != nil {
-		c.a.options.Memory.Give(held)
+		c.a.options.Memory.Release(held)
 	}
 	switch {
 	case errors.Is(err, errTooLarge):
--- a/internal/connection/framer/framer.go
+++ b/internal/connection/framer/framer.go
@@ -76,7 +76,7 @@
 	// memory.
 	var buf bytes.Buffer
 	held, whole, err := f.memory.Fill(&buf, io.LimitReader(f.r, int64(size)), min(int64(size), part), MaxSize)
-	defer f.memory.Give(held)
+	defer f.memory.Release(held)
 	switch {
 	case err != nil:
 		return nil, classifier.Failed.Wrap(err, "read envelope")
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -24,12 +24,12 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
-	"dandeliontrack.example/dandeliontrack/internal/process/pulser"
 	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/internal/process/settler"
 	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
+	"dandeliontrack.example/dandeliontrack/internal/process/watchdog"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
 	"dandeliontrack.example/dandeliontrack/internal/sleeper"
@@ -104,7 +104,7 @@
 
 	meter     *meter.Meter
 	recoverer *recoverer.Recoverer
-	pulser    *pulser.Pulser
+	watchdog  *watchdog.Watchdog
 	linker    *linker.Linker
 	gossiper  *gossiper.Gossiper
 	registrar *registrar.Registrar
@@ -150,7 +150,7 @@
 	c.lifetime.Store(int64(s.Lifetime))
 	c.grace.Store(int64(s.Grace))
 	c.born = time.Now()
-	c.pulser = pulser.New(nil)
+	c.watchdog = watchdog.New(nil)
 	c.recoverer = recoverer.New(log, c.meter)
 	now := time.Now()
 	var err error
@@ -178,7 +178,7 @@
 	st := steerer.New(steerer.Options{
 		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
-		Memory: memory, Guard: c.recoverer.Do, Pulse: c, Log: log, Meter: c.meter,
+		Memory: memory, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
 	})
 	c.acceptor = acceptor.New(acceptor.Options{
 		Handler: st, Limits: c.limits, Repeatable: st.Repeatable, Memory: memory, Guard: c.recoverer.Do,
@@ -294,7 +294,7 @@
 // start begins the work that goes on beside requests.
 func (c *Conductor) start(ctx context.Context, g *errgroup.Group) {
 	work := map[string]func(context.Context){
-		"membership": c.gossiper.Run, "exchange": c.exchange, "tick": c.tick, "announce": c.announce, "beat": c.beat,
+		"membership": c.gossiper.Run, "exchange": c.exchange, "tick": c.tick, "announce": c.announce, "heartbeat": c.heartbeat,
 	}
 	for table, f := range c.followers {
 		work["table "+table] = f.Run
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -54,7 +54,7 @@
 	// double as they grow, so twice that may be in use.
 	bodyShare = 0.3
 
-	// confirmWithin bounds the time that requests wait after the process stood still.
+	// confirmWithin bounds the time that requests wait after the process was paused.
 	// The store answers within tens of milliseconds, and another host is asked every
 	// 0.2 s; callers have waited for the whole pause already.
 	confirmWithin = time.Second
--- a/internal/process/conductor/pulse.go
+++ b/internal/process/conductor/pause.go
@@ -5,26 +5,26 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
-	"dandeliontrack.example/dandeliontrack/internal/process/pulser"
+	"dandeliontrack.example/dandeliontrack/internal/process/watchdog"
 	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 )
 
-// Epoch implements steerer.Pulse.
-func (c *Conductor) Epoch() uint64 { return c.pulser.Epoch() }
+// Pauses implements steerer.Watchdog.
+func (c *Conductor) Pauses() uint64 { return c.watchdog.Pauses() }
 
-// Await implements steerer.Pulse. A host that stood still does not know which
+// Await implements steerer.Watchdog. A host that was paused does not know which
 // upstreams left, which zones were evacuated and which hosts took over its part of
 // the limits, so it sends nothing before it asked.
 func (c *Conductor) Await(ctx context.Context) {
-	for !c.pulser.Fresh() && sleeper.Sleep(ctx, confirmPeriod) {
+	for !c.watchdog.Fresh() && sleeper.Sleep(ctx, confirmPeriod) {
 	}
 }
 
-// beat notices that the process stood still and has its beliefs confirmed.
-func (c *Conductor) beat(ctx context.Context) {
-	for sleeper.Sleep(ctx, pulser.Period) {
-		if stood, epoch := c.pulser.Beat(); stood > 0 {
-			c.confirm(ctx, stood, epoch)
+// heartbeat notices that the process was paused and has its beliefs confirmed.
+func (c *Conductor) heartbeat(ctx context.Context) {
+	for sleeper.Sleep(ctx, watchdog.Period) {
+		if length, pauses := c.watchdog.Heartbeat(); length > 0 {
+			c.confirm(ctx, length, pauses)
 		}
 	}
 }
@@ -32,8 +32,8 @@
 // confirm waits until the tables are as new as the end of the pause. While the store
 // does not answer, an exchange with another host has to do, and without any answer
 // the host goes on after a while with what it has: a fleet that loses the store and
-// stands still goes on serving.
-func (c *Conductor) confirm(ctx context.Context, stood time.Duration, epoch uint64) {
+// is paused goes on serving.
+func (c *Conductor) confirm(ctx context.Context, length time.Duration, pauses uint64) {
 	begun := time.Now()
 	c.feeder.Resume(begun)
 	for _, f := range c.followers {
@@ -42,10 +42,10 @@
 	confirmed := false
 	for time.Since(begun) < confirmWithin && !confirmed && sleeper.Sleep(ctx, confirmPeriod) {
 		confirmed = c.confirmed(begun)
-		c.pulser.Epoch() // a further pause while this one is confirmed counts anew
+		c.watchdog.Heartbeat() // a further pause while this one is confirmed counts anew
 	}
-	c.pulser.Confirm(epoch)
-	c.log.Event(logger.ProcessStood).Dur("stood", stood).Dur("took", time.Since(begun)).Bool("confirmed", confirmed).Send()
+	c.watchdog.Confirm(pauses)
+	c.log.Event(logger.ProcessPaused).Dur("length", length).Dur("took", time.Since(begun)).Bool("confirmed", confirmed).Send()
 }
 
 func (c *Conductor) confirmed(since time.Time) bool {
--- /dev/null
+++ b/internal/process/conductor/pause_internal_test.go
@@ -0,0 +1,71 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/feeder"
+	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/watchdog"
+)
+
+// source is a store that answers or fails.
+type source struct{ err error }
+
+func (s source) Read(context.Context, string) (follower.Page, error) {
+	return follower.Page{Version: 1}, s.err
+}
+
+func (s source) Changes(context.Context, string, uint64) (follower.Page, error) {
+	return follower.Page{Version: 1}, s.err
+}
+
+// deaf is a watcher that keeps nothing.
+type deaf struct{}
+
+func (deaf) Rows(string, []follower.Row, bool, bool) {}
+func (deaf) Store(string, error)                     {}
+
+// Guards against a host that waits for good after a pause because neither the store nor
+// another host answers, and against one that goes on before it asked them.
+func TestConfirm(t *testing.T) {
+	for name, c := range map[string]struct {
+		err   error
+		least time.Duration
+		most  time.Duration
+	}{
+		"the store answers": {nil, 0, 800 * time.Millisecond},
+		"nobody answers":    {errors.New("down"), confirmWithin, confirmWithin + 200*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				h := &Conductor{
+					born: start, feeder: feeder.New("h", feeder.Limit{}, start),
+					watchdog: watchdog.New(func() time.Duration { return time.Since(start) }),
+				}
+				f := follower.New("t", source{c.err}, 700*time.Millisecond, deaf{})
+				h.followers = map[string]*follower.Follower{"t": f}
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.Run(ctx)
+				time.Sleep(5 * time.Second) // without a heartbeat
+				resumed := time.Now()
+				go h.heartbeat(ctx)
+				assert.Equal(t, h.Pauses(), uint64(1))
+				h.Await(ctx)
+				took := time.Since(resumed)
+				assert.Assert(t, took >= c.least && took <= c.most, "%v", took)
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, h.Pauses(), uint64(1))
+				assert.Assert(t, h.watchdog.Fresh())
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/process/feeder/feeder.go
+++ b/internal/process/feeder/feeder.go
@@ -66,7 +66,7 @@
 	f.limit = l
 }
 
-// Resume says that the process stood still until now. The hosts that it knew to
+// Resume says that the process was paused until now. The hosts that it knew to
 // answer may not be those that answer now, as after a start.
 func (f *Feeder) Resume(now time.Time) {
 	f.mu.Lock()
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -33,8 +33,8 @@
 	// compareTime is how long a host without a copy compares the tables that other
 	// hosts offer before it takes an old one. It meets another host every 0.2 s.
 	compareTime = time.Second
-	// unknownAge is added to the age of an answer that arrived while the process stood
-	// still, for how long its clock may not have counted.
+	// unknownAge is added to the age of an answer that arrived while the process was
+	// paused, for how long its clock may not have counted.
 	unknownAge = time.Hour
 	// tombstones bounds the remembered deletions. A host that lacks older ones
 	// gets the whole table.
@@ -93,7 +93,7 @@
 	floor   uint64 // all deletions after this version are among the rows,
 	gap     gap    // but for those in the gap
 	heard   time.Time
-	doubts  int // how often the process stood still
+	doubts  int // how often the process was paused
 	failing bool
 	offer   offer
 }
@@ -136,7 +136,7 @@
 	return f.version
 }
 
-// Doubt says that the process stood still: the copy counts as confirmed at no time
+// Doubt says that the process was paused: the copy counts as confirmed at no time
 // until the store or another host confirms it again.
 func (f *Follower) Doubt() {
 	f.mu.Lock()
@@ -146,7 +146,7 @@
 }
 
 // age returns the age of an answer to a call that began at a time, when the process
-// had stood still doubts times. An answer that was under way when the process stood
+// had been paused doubts times. An answer that was under way when the process stood
 // still is as old as the call.
 func (f *Follower) age(begun time.Time, doubts int) time.Duration {
 	if f.doubted() == doubts {
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -353,7 +353,7 @@
 	return s.store.Read(ctx, table)
 }
 
-// pausing is a store during whose calls the process stands still when it is told so.
+// pausing is a store during whose calls the process is paused when it is told so.
 type pausing struct {
 	*store
 	pauses chan func()
@@ -369,7 +369,7 @@
 	return p, err
 }
 
-// Guards against an answer that waited while the process stood still and is taken for
+// Guards against an answer that waited while the process was paused and is taken for
 // what the store says now.
 func TestAnswerFromBeforeAPauseConfirmsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -22,7 +22,7 @@
 	SettingsRead     Event = 107
 	SettingsRefused  Event = 108
 	PanicRecovered   Event = 109
-	ProcessStood     Event = 110
+	ProcessPaused    Event = 110
 	VersionAccepted  Event = 201
 	VersionInstalled Event = 202
 	VersionRefused   Event = 203
@@ -58,7 +58,7 @@
 	SettingsRead:     {zerolog.InfoLevel, "settings read", "Changed settings are in force, as far as they can change while the host runs."},
 	SettingsRefused:  {zerolog.WarnLevel, "settings refused", "The settings file can't be read or fails a check; the settings in force stay."},
 	PanicRecovered:   {zerolog.ErrorLevel, "panic recovered", "A fault in the code ended the work in the field place; the process goes on, and what was under way there failed."},
-	ProcessStood:     {zerolog.WarnLevel, "process stood still", "The process got no processor for the time in stood; requests waited for the time in took until its tables were confirmed, or went on without if confirmed is false."},
+	ProcessPaused:    {zerolog.WarnLevel, "process paused", "The process got no processor for the time in length; requests waited for the time in took until its tables were confirmed, or went on without if confirmed is false."},
 	VersionAccepted:  {zerolog.InfoLevel, "version accepted", "A publication through this host won its conditional write."},
 	VersionInstalled: {zerolog.InfoLevel, "version installed", "The version in the field version is in force on this host."},
 	VersionRefused:   {zerolog.WarnLevel, "version refused", "A release note or a copy of a version failed a check."},
--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -1,10 +1,10 @@
 // Package reserver bounds the memory that the bodies of all requests of a host take
 // together, so that many long ones at once cannot end the process.
 //
-//	if !r.Take(n) {
+//	if !r.TryAcquire(n) {
 //		// go on without holding the body
 //	}
-//	defer r.Give(n)
+//	defer r.Release(n)
 package reserver
 
 import (
@@ -27,9 +27,9 @@
 // New returns a Reserver of most bytes; 0 means no bound.
 func New(most int64) *Reserver { return &Reserver{most: most} }
 
-// Take reserves n bytes and reports whether they are free. Each Take that succeeds
-// is followed by a Give.
-func (r *Reserver) Take(n int64) bool {
+// TryAcquire reserves n bytes and reports whether they are free. Each one that succeeds
+// is followed by a Release.
+func (r *Reserver) TryAcquire(n int64) bool {
 	used := r.used.Add(n)
 	if r.most > 0 && used > r.most {
 		r.used.Add(-n)
@@ -43,8 +43,8 @@
 	}
 }
 
-// Give returns n reserved bytes.
-func (r *Reserver) Give(n int64) { r.used.Add(-n) }
+// Release returns n reserved bytes.
+func (r *Reserver) Release(n int64) { r.used.Add(-n) }
 
 // Fill reads a body into b until its end, until more than most bytes were read, or
 // until no memory is free. A length of 0 or less means that it is not known. It
@@ -55,7 +55,7 @@
 		n = length + bytes.MinRead // room to see the end without growing
 	}
 	for int64(b.Len()) <= most {
-		if !r.Take(n) {
+		if !r.TryAcquire(n) {
 			return held, false, nil
 		}
 		held += n
--- a/internal/process/reserver/reserver_test.go
+++ b/internal/process/reserver/reserver_test.go
@@ -22,8 +22,8 @@
 	for range 50 {
 		wg.Go(func() {
 			for n := range int64(200) {
-				if r.Take(n) {
-					r.Give(n)
+				if r.TryAcquire(n) {
+					r.Release(n)
 				}
 			}
 		})
@@ -31,14 +31,14 @@
 	wg.Wait()
 	assert.Equal(t, r.Used(), int64(0))
 	assert.Assert(t, r.Peak() > 0 && r.Peak() <= 1000, "%d", r.Peak())
-	assert.Assert(t, r.Take(1000))
-	assert.Assert(t, !r.Take(1))
+	assert.Assert(t, r.TryAcquire(1000))
+	assert.Assert(t, !r.TryAcquire(1))
 }
 
 // Guards against a bound where none is set.
 func TestZeroValue(t *testing.T) {
 	var r reserver.Reserver
-	assert.Assert(t, r.Take(1<<40))
+	assert.Assert(t, r.TryAcquire(1<<40))
 }
 
 // Guards against bodies that are taken for whole when memory or their bound ends, and
--- a/internal/process/pulser/pulser_test.go
+++ b/internal/process/watchdog/watchdog_test.go
@@ -1,4 +1,4 @@
-package pulser_test
+package watchdog_test
 
 import (
 	"testing"
@@ -6,51 +6,51 @@
 
 	"gotest.tools/v3/assert"
 
-	"dandeliontrack.example/dandeliontrack/internal/process/pulser"
+	"dandeliontrack.example/dandeliontrack/internal/process/watchdog"
 )
 
 // Guards against a pause that nobody notices before a request is sent, and against
 // one that is noticed twice or where there was none.
 func TestPauses(t *testing.T) {
 	now := time.Hour
-	p := pulser.New(func() time.Duration { return now })
+	w := watchdog.New(func() time.Duration { return now })
 	beat := func(after time.Duration) time.Duration {
 		now += after
-		stood, epoch := p.Beat()
-		if stood > 0 {
-			p.Confirm(epoch)
+		length, pauses := w.Heartbeat()
+		if length > 0 {
+			w.Confirm(pauses)
 		}
-		return stood
+		return length
 	}
 	for range 50 {
-		assert.Equal(t, beat(pulser.Period), time.Duration(0))
+		assert.Equal(t, beat(watchdog.Period), time.Duration(0))
 	}
 	assert.Equal(t, beat(600*time.Millisecond), time.Duration(0))
 	assert.Equal(t, beat(5*time.Second), 5*time.Second)
-	assert.Assert(t, p.Fresh())
+	assert.Assert(t, w.Fresh())
 
 	// A request that runs before the first beat notices the pause as well.
 	now += 3 * time.Second
-	assert.Assert(t, !p.Fresh())
-	epoch := p.Epoch()
+	assert.Assert(t, !w.Fresh())
+	pauses := w.Pauses()
 	now += 10 * time.Millisecond
-	assert.Equal(t, p.Epoch(), epoch)
+	assert.Equal(t, w.Pauses(), pauses)
 	assert.Equal(t, beat(10*time.Millisecond), 3*time.Second)
-	assert.Assert(t, p.Fresh())
+	assert.Assert(t, w.Fresh())
 
 	// A second pause before the first one was confirmed has to be confirmed too.
 	now += 2 * time.Second
-	_, epoch = p.Beat()
+	_, pauses = w.Heartbeat()
 	now += 2 * time.Second
-	assert.Assert(t, p.Epoch() > epoch)
-	p.Confirm(epoch)
-	assert.Assert(t, !p.Fresh())
+	assert.Assert(t, w.Pauses() > pauses)
+	w.Confirm(pauses)
+	assert.Assert(t, !w.Fresh())
 }
 
 // Guards against a system clock that is not read.
 func TestSystemClock(t *testing.T) {
-	p := pulser.New(nil)
-	assert.Assert(t, p.Fresh())
-	stood, _ := p.Beat()
-	assert.Equal(t, stood, time.Duration(0))
+	w := watchdog.New(nil)
+	assert.Assert(t, w.Fresh())
+	length, _ := w.Heartbeat()
+	assert.Equal(t, length, time.Duration(0))
 }
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -36,7 +36,7 @@
 	choice   ranker.Choice
 	up       *registrar.Upstream
 	start    time.Time
-	epoch    uint64    // of the process, when the upstream was chosen
+	pauses   uint64    // of the process, when the upstream was chosen
 	deadline time.Time // told to the upstream
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -74,7 +74,7 @@
 // attempt may go on when its request has been answered.
 func (a *attempt) release() {
 	if a.users.Add(-1) == 0 {
-		a.x.s.o.Memory.Give(a.held)
+		a.x.s.o.Memory.Release(a.held)
 	}
 }
 
@@ -136,7 +136,7 @@
 		a.conn.Close()
 		return err
 	}
-	if x.s.o.Pulse.Epoch() != a.epoch {
+	if x.s.o.Watchdog.Pauses() != a.pauses {
 		// The upstream may have left, and its limits may be others' by now.
 		a.conn.Close()
 		return errStale
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -46,7 +46,7 @@
 	errExpired = classifier.Overloaded.New("no upstream could be reached before the deadline")
 	errLate    = classifier.TimedOut.New("no answer before the deadline")
 	errPanic   = classifier.Internal.New("the request met a fault in the code")
-	errStale   = classifier.NotReady.New("the process stood still between the choice of an upstream and the request")
+	errStale   = classifier.NotReady.New("the process was paused between the choice of an upstream and the request")
 	errHedged  = errors.New("another attempt answered first")
 )
 
@@ -203,8 +203,8 @@
 
 // launch chooses an upstream and starts an attempt there.
 func (x *exchange) launch(results chan<- *attempt) error {
-	epoch := x.s.o.Pulse.Epoch()
-	x.s.o.Pulse.Await(x.ctx)
+	pauses := x.s.o.Watchdog.Pauses()
+	x.s.o.Watchdog.Await(x.ctx)
 	now := time.Now()
 	left := x.deadline.Sub(now)
 	if x.ctx.Err() != nil {
@@ -219,7 +219,7 @@
 		return classifier.Overloaded.New("no upstream of service %s has room before the deadline", x.service)
 	}
 	a := newAttempt(x, choice, now)
-	a.epoch = epoch
+	a.pauses = pauses
 	x.attempts = append(x.attempts, a)
 	x.tried = append(x.tried, choice.Upstream)
 	x.sent++
--- a/internal/request/steerer/pulse_test.go
+++ b/internal/request/steerer/pause_test.go
@@ -8,33 +8,33 @@
 	"gotest.tools/v3/assert"
 )
 
-// pulse is a process that stands still at chosen moments.
-type pulse struct {
+// watchdog is a process that is paused at chosen moments.
+type watchdog struct {
 	asked atomic.Int64
-	stand func(asked int64) bool // before the n-th time that the epoch is asked for
-	epoch atomic.Uint64
+	pause func(asked int64) bool // before the n-th time that the pauses are asked for
+	count atomic.Uint64
 	await func()
 }
 
-func (p *pulse) Epoch() uint64 {
-	if p.stand != nil && p.stand(p.asked.Add(1)) {
-		p.epoch.Add(1)
+func (w *watchdog) Pauses() uint64 {
+	if w.pause != nil && w.pause(w.asked.Add(1)) {
+		w.count.Add(1)
 	}
-	return p.epoch.Load()
+	return w.count.Load()
 }
 
-func (p *pulse) Await(context.Context) {
-	if p.await != nil {
-		p.await()
+func (w *watchdog) Await(context.Context) {
+	if w.await != nil {
+		w.await()
 	}
 }
 
 // Guards against a request that is sent by a choice from before a pause: to an
 // upstream that left meanwhile, or twice because the first choice counted as sent.
-func TestProcessThatStoodStill(t *testing.T) {
+func TestPausedProcess(t *testing.T) {
 	for name, c := range map[string]struct {
 		method, path string
-		stand        func(asked int64) bool
+		pause        func(asked int64) bool
 		leaves       bool // the first upstream leaves before the host was confirmed
 		status       int
 		first        int64
@@ -49,9 +49,9 @@
 		t.Run(name, func(t *testing.T) {
 			g := newRig(t, func(_, _ *upstream) {})
 			if c.leaves {
-				g.pulse.await = g.removeFirst
+				g.watchdog.await = g.removeFirst
 			}
-			g.pulse.stand = c.stand
+			g.watchdog.pause = c.pause
 			r, _, err := g.ask(c.method, c.path)
 			assert.NilError(t, err)
 			assert.Equal(t, r.StatusCode, c.status)
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -60,16 +60,16 @@
 	Cross(failing bool) bool
 }
 
-// Pulse knows when the process stood still.
-type Pulse interface {
-	// Epoch returns how often the process stood still so far.
-	Epoch() uint64
-	// Await waits until what the host believes was confirmed since then, or ctx
+// Watchdog knows when the process was paused.
+type Watchdog interface {
+	// Pauses returns how often the process was paused so far.
+	Pauses() uint64
+	// Await waits until what the host believes was confirmed after that, or ctx
 	// ends.
 	Await(ctx context.Context)
 }
 
-// Options configure a Steerer. All are needed, except Memory, Guard, Pulse, Log and Meter.
+// Options configure a Steerer. All are needed, except Memory, Guard, Watchdog, Log and Meter.
 type Options struct {
 	Dialect Dialect
 	Table   func() *matcher.Table // nil without a configuration
@@ -85,19 +85,19 @@
 	Memory    *reserver.Reserver // for answers that are held; the default has no bound
 	// Guard runs f and reports whether it panicked; nil means that panics are not
 	// recovered.
-	Guard func(place string, f func()) bool
-	Pulse Pulse // nil if the process never stands still
-	Log   logger.Logger
-	Meter *meter.Meter
+	Guard    func(place string, f func()) bool
+	Watchdog Watchdog // nil if pauses need no care
+	Log      logger.Logger
+	Meter    *meter.Meter
 }
 
-// steady is the Pulse of a process that never stands still.
+// steady is the Watchdog of a process that is never paused.
 type steady struct{}
 
-// Epoch implements Pulse.
-func (steady) Epoch() uint64 { return 0 }
+// Pauses implements Watchdog.
+func (steady) Pauses() uint64 { return 0 }
 
-// Await implements Pulse.
+// Await implements Watchdog.
 func (steady) Await(context.Context) {}
 
 // Steerer serves calls. It is safe for concurrent use.
@@ -114,8 +114,8 @@
 	if o.Guard == nil {
 		o.Guard = func(_ string, f func()) bool { f(); return false }
 	}
-	if o.Pulse == nil {
-		o.Pulse = steady{}
+	if o.Watchdog == nil {
+		o.Watchdog = steady{}
 	}
 	if o.Memory == nil {
 		o.Memory = new(reserver.Reserver)
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -118,15 +118,15 @@
 // rig is a host with two upstreams. All requests have the same object, so the
 // first one is asked first.
 type rig struct {
-	t      *testing.T
-	table  *matcher.Table
-	first  *upstream
-	second *upstream
-	steer  *steerer.Steerer
-	memory *reserver.Reserver
-	pulse  *pulse
-	remove func(id string)
-	dial   func() net.Conn
+	t        *testing.T
+	table    *matcher.Table
+	first    *upstream
+	second   *upstream
+	steer    *steerer.Steerer
+	memory   *reserver.Reserver
+	watchdog *watchdog
+	remove   func(id string)
+	dial     func() net.Conn
 }
 
 const object = "7"
@@ -136,7 +136,7 @@
 
 func newRig(t *testing.T, behave func(first, second *upstream)) *rig {
 	t.Helper()
-	g := &rig{t: t, pulse: new(pulse), memory: reserver.New(memoryMost)}
+	g := &rig{t: t, watchdog: new(watchdog), memory: reserver.New(memoryMost)}
 	reg := registrar.New(map[string]string{"z": "r"})
 	var ups []*upstream
 	for i := range 2 {
@@ -164,7 +164,7 @@
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: everywhere{},
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
 		Upstreams: reg, Ranker: ranker.New("r"),
-		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s, Memory: g.memory, Pulse: g.pulse, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
+		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s, Memory: g.memory, Watchdog: g.watchdog, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
