--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -146,8 +146,8 @@
 }
 
 // age returns the age of an answer to a call that began at a time, when the process
-// had been paused doubts times. An answer that was under way when the process stood
-// still is as old as the call.
+// had been paused doubts times. An answer that was under way when the process was
+// paused is as old as the call.
 func (f *Follower) age(begun time.Time, doubts int) time.Duration {
 	if f.doubted() == doubts {
 		return 0
