--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -146,7 +146,6 @@
 	u.markSuspect(now)
 }
 
-// markSuspect is MarkSuspect for callers that hold mu.
 // markSuspect is MarkSuspect for callers that hold mu.
 func (u *Upstream) markSuspect(now time.Time) {
 	u.suspectSince, u.rowsSinceSuspect = now, 0
@@ -279,15 +278,12 @@
 	u.updateSlowdown(ratio, now)
 }
 
-// updateSlowdown adds a result to the average slowdown. The caller must hold mu.
 // updateSlowdown adds a result to the average slowdown. The caller must hold mu.
 func (u *Upstream) updateSlowdown(ratio float64, now time.Time) {
 	u.decayResults(now)
 	u.slowdown += resultWeight * (min(max(ratio, 0.2), maxSlowdown) - u.slowdown)
 }
 
-// updateFailureRate adds a result, 1 for a failure and 0 for a success, to the average
-// failure rate. The caller must hold mu.
 // updateFailureRate adds a result, 1 for a failure and 0 for a success, to the average
 // failure rate. The caller must hold mu.
 func (u *Upstream) updateFailureRate(failed float64, now time.Time) {
@@ -338,7 +334,6 @@
 	return ok && now.Sub(t) < warmObjectTTL
 }
 
-// decay returns the weight of a value of the given age: 1 at age 0, 0.5 at halfLife.
 // decay returns the weight of a value of the given age: 1 at age 0, 0.5 at halfLife.
 func decay(age, halfLife time.Duration) float64 {
 	if age <= 0 {
