Decode and log the rate limit that an upstream states

Logs could not tell whether hosts that send too much to an upstream know its rate limit. The adapter decodes the header field once into registrar.RateLimit, the upstream keeps it, and event 504 tells when a host learned of a limit and of its end; event 505 tells of one that cannot be read. Routing does not change.

--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -36,6 +36,8 @@
 	UpstreamLeaving        Event = 501
 	ConnectionUnresponsive Event = 502
 	UpstreamUnreachable    Event = 503
+	RateLimitChanged       Event = 504
+	RateLimitInvalid       Event = 505
 	RequestFailed          Event = 601
 	RequestServed          Event = 602
 	RequestRefused         Event = 603
@@ -73,6 +75,8 @@
 	UpstreamLeaving:        {zerolog.InfoLevel, "upstream leaving", "The upstream gets no new requests; the field sign gives the reason."},
 	ConnectionUnresponsive: {zerolog.WarnLevel, "connection unresponsive", "Connections to the address carried no data while a new one works; they are closed."},
 	UpstreamUnreachable:    {zerolog.WarnLevel, "upstream unreachable", "The address refused a connection, or did not respond to a probe on a new one."},
+	RateLimitChanged:       {zerolog.InfoLevel, "rate limit changed", "The upstream began to state a rate limit in its responses, in requests per second of all hosts together, or stopped if limited is false."},
+	RateLimitInvalid:       {zerolog.WarnLevel, "rate limit invalid", "A response states a rate limit that can't be read; the one that is known stays in effect."},
 	RequestFailed:          {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run; attempts, where given, lists the attempts made."},
 	RequestServed:          {zerolog.InfoLevel, "request served", "A request got an upstream's response; attempts lists where it was sent, what was expected there, and the result."},
 	RequestRefused:         {zerolog.WarnLevel, "request refused", "A request got an error response of a kind that guarantees it did not run; kind, room and attempts give the reason."},
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -69,6 +69,7 @@
 	failureRate      float64 // moving average of the fraction of requests that failed
 	lastResult       time.Time
 	warmObjects      map[uint64]time.Time // time of the last successful response, by hash of the object
+	limit            rateLimit
 }
 
 func newUpstream(reg Registration, region string) *Upstream {
@@ -85,6 +86,9 @@
 	defer old.mu.Unlock()
 	u.rowVersion, u.draining = old.rowVersion, old.draining
 	u.coldUntil, u.suspectSince, u.nextColdRequest = old.coldUntil, old.suspectSince, old.nextColdRequest
+	if u.startUnixMilli == old.startUnixMilli {
+		u.limit = old.limit
+	}
 }
 
 // ID returns the key of its registration.
@@ -136,6 +140,7 @@
 func (u *Upstream) resetProcessState() {
 	u.warmObjects, u.peerLoad, u.slowdown, u.failureRate = nil, 0, 1, 0
 	u.shedUntil, u.lastLoss = time.Time{}, time.Time{}
+	u.limit = rateLimit{}
 }
 
 // MarkSuspect records that the upstream may have restarted. It counts as cold until it
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -14,6 +14,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/request/stripper"
@@ -299,6 +300,7 @@
 	if a.metadata.HasLoad {
 		a.upstream.ReportLoad(a.metadata.Load, now)
 	}
+	a.recordRateLimit(now)
 	cause := context.Cause(a.ctx)
 	switch kind := classifier.Of(a.err); {
 	case a.err == nil:
@@ -322,6 +324,32 @@
 	}
 }
 
+// recordRateLimit records the rate limit that the upstream states in its response, or that
+// it states none. Refusals state it too, but only a complete response counts as evidence
+// that there is none.
+func (a *attempt) recordRateLimit(now time.Time) {
+	m := &a.metadata
+	changed := false
+	switch {
+	case a.response == nil || a.response.StatusCode == http.StatusMisdirectedRequest:
+		return // there is no response, or another process uses the address now
+	case m.InvalidRateLimit != "":
+		a.x.s.options.Log.Event(logger.RateLimitInvalid).Str("upstream", a.upstream.ID()).
+			Str("value", m.InvalidRateLimit[:min(len(m.InvalidRateLimit), maxLoggedValueBytes)]).Send()
+	case m.HasRateLimit:
+		changed = a.upstream.RecordRateLimit(m.RateLimit, now)
+	case a.err == nil && m.Signed:
+		changed = a.upstream.RecordNoRateLimit(a.start)
+	}
+	if changed {
+		a.x.s.options.Log.Event(logger.RateLimitChanged).Str("upstream", a.upstream.ID()).Str("service", a.upstream.Service()).
+			Float64("limit", float64(m.RateLimit)).Bool("limited", m.HasRateLimit).Send()
+	}
+}
+
+// maxLoggedValueBytes bounds the part of an invalid field that is logged.
+const maxLoggedValueBytes = 64
+
 // expectedTime returns the expected time from dispatch to the response.
 func (a *attempt) expectedTime() time.Duration {
 	return max(a.choice.QueueWait+a.choice.UnloadedLatency, time.Millisecond)
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -33,6 +33,11 @@
 	NotRun  bool // the upstream has not run the request and will not
 	Load    registrar.Load
 	HasLoad bool // Load was reported
+	// RateLimit is the rate limit that the upstream states, if HasRateLimit is set.
+	RateLimit    registrar.RateLimit
+	HasRateLimit bool
+	// InvalidRateLimit is the text of a rate limit that cannot be read.
+	InvalidRateLimit string
 }
 
 // Dialect reads and writes the header fields that callers and upstreams use.
