Share the rate limit of an upstream among the hosts

Cold upstreams, retries and shifts have such a division, each for a limit that is in the settings; a limit that an upstream states at run time had none.

Change: a host uses the limit times its part of the requests to the region of the upstream, which the syncs of demand between hosts tell it, times live hosts by known hosts, and 80% of that, evenly spaced. Hosts that do not respond keep their part, so the sides of a partition together stay within the limit. A request for which that part is used up goes to the next upstream in the order, which then warms the object up. A choice that loses the race for a rate limit, of a cold upstream too, looks for another upstream instead of a refusal. A refusal gives the time until the limit allows a request.

--- a/internal/process/apportioner/apportioner.go
+++ b/internal/process/apportioner/apportioner.go
@@ -127,6 +127,24 @@
 	return LocalFirstWeights(a.own, demand, slots)
 }
 
+// FlowShares returns, for each region, the part of the requests to its upstreams that comes
+// from one host. own is the region of the host and busy the number of slots that its callers
+// keep busy, of the demand of that region. weights holds the planned weights for the
+// callers of each region.
+func FlowShares(own int, busy float64, demand []float64, weights [][]float64) []float64 {
+	out := make([]float64, len(demand))
+	for to := range out {
+		flow := max(0, busy-demand[own]) * weights[own][to] // the known demand may lag behind
+		for from := range demand {
+			flow += demand[from] * weights[from][to]
+		}
+		if flow > 0 {
+			out[to] = busy * weights[own][to] / flow
+		}
+	}
+	return out
+}
+
 // ProportionalWeights returns weights in proportion to the slots of each region, which are
 // the same for the callers of all regions. An object then goes to one upstream from all
 // regions instead of one in each region, and only one cache has to warm up.
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -129,6 +129,8 @@
 	view              atomic.Pointer[view]
 	membershipChanges atomic.Int64 // incremented to invalidate the view
 
+	flowShares atomic.Pointer[map[string][]float64] // by service, in the order of regions
+
 	readsStore      atomic.Bool // whether this host reads the store for its region
 	readerAddresses atomic.Pointer[[]string]
 	started         time.Time
@@ -181,7 +183,7 @@
 	memory := reserver.New(int64(bodyMemoryFraction * float64(s.MemoryLimit)))
 	c.meter.SetFunc(meter.BodyBytes, memory.Used)
 	requests := steerer.New(steerer.Options{
-		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate,
+		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate, RateShare: c.rateShare,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
 		Memory: memory, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
 	})
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -185,6 +185,35 @@
 	return c.throttler.Rate(u.ID(), perSecond, time.Now())
 }
 
+// rateShare returns the part of the rate limit of an upstream that this host may use.
+func (c *Conductor) rateShare(u *registrar.Upstream) registrar.Share {
+	v := c.currentView()
+	flow := 0.0
+	if shares := c.flowShares.Load(); shares != nil {
+		if byRegion := (*shares)[u.Service()]; byRegion != nil {
+			flow = byRegion[slices.Index(c.regions, u.Region())]
+		}
+	}
+	return c.throttler.RateShare(u.ID(), flow, len(v.live)+1, v.known+1, time.Now())
+}
+
+// updateFlowShares updates the part of the requests to each service and region that comes
+// from this host.
+func (c *Conductor) updateFlowShares() {
+	shares := make(map[string][]float64)
+	own := slices.Index(c.regions, c.settings.Region)
+	for _, service := range c.registrar.Services() {
+		demand := c.surveyor.BusySlots(service, c.regions, c.readsStore.Load())
+		slots := c.slotsByRegion(service)
+		weights := make([][]float64, len(c.regions))
+		for from := range weights {
+			weights[from] = c.targetWeights(from, service, demand, slots)
+		}
+		shares[service] = apportioner.FlowShares(own, c.surveyor.OwnBusySlots(service), demand, weights)
+	}
+	c.flowShares.Store(&shares)
+}
+
 // isReader reports whether this host reads the store for its region.
 func (c *Conductor) isReader() bool { return c.readsStore.Load() }
 
@@ -248,6 +277,7 @@
 		for _, service := range c.registrar.Services() {
 			c.movePlans(now, service)
 		}
+		c.updateFlowShares()
 		c.ready()
 		sleeper.Sleep(ctx, tickInterval)
 	}
@@ -256,18 +286,30 @@
 // movePlans moves the traffic plans of a service toward the weights that its current
 // demand calls for.
 func (c *Conductor) movePlans(now time.Time, service string) {
+	slots := c.slotsByRegion(service)
+	demand := c.surveyor.BusySlots(service, c.regions, c.readsStore.Load())
+	c.plan.MoveToward(now, localPlanPrefix+service, c.plan.LocalFirstWeights(demand, slots), slots)
+	own := slices.Index(c.regions, c.settings.Region)
+	c.plan.MoveToward(now, spreadPlanPrefix+service, c.targetWeights(own, service, demand, slots), slots)
+}
+
+// targetWeights returns the weights toward which the spread plan of the hosts of a region
+// moves.
+func (c *Conductor) targetWeights(region int, service string, demand, slots []float64) []float64 {
+	if c.spreadsObjects(service) {
+		return apportioner.ProportionalWeights(slots)
+	}
+	return apportioner.LocalFirstWeights(region, demand, slots)
+}
+
+// slotsByRegion returns the number of slots of a service in each region.
+func (c *Conductor) slotsByRegion(service string) []float64 {
 	group := c.registrar.Group(service)
 	slots := make([]float64, len(c.regions))
 	for i, region := range c.regions {
 		slots[i] = float64(group.Slots(region))
 	}
-	local := c.plan.LocalFirstWeights(c.surveyor.BusySlots(service, c.regions, c.readsStore.Load()), slots)
-	c.plan.MoveToward(now, localPlanPrefix+service, local, slots)
-	target := local
-	if c.spreadsObjects(service) {
-		target = apportioner.ProportionalWeights(slots)
-	}
-	c.plan.MoveToward(now, spreadPlanPrefix+service, target, slots)
+	return slots
 }
 
 // spreadsObjects reports whether the RTT to all regions is so short that each object of a
--- a/internal/process/surveyor/surveyor.go
+++ b/internal/process/surveyor/surveyor.go
@@ -165,6 +165,14 @@
 	}
 }
 
+// OwnBusySlots returns the number of slots of a service that the callers of this host keep
+// busy.
+func (s *Surveyor) OwnBusySlots(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy[service]
+}
+
 // BusySlots returns the number of slots of a service that the callers of each region keep
 // busy. sumRegion says whether this host sums up the demand of its region itself.
 func (s *Surveyor) BusySlots(service string, regions []string, sumRegion bool) []float64 {
--- a/internal/process/throttler/throttler.go
+++ b/internal/process/throttler/throttler.go
@@ -1,18 +1,23 @@
-// Package throttler divides the rate limit of a cold upstream among the hosts without
-// communication.
+// Package throttler divides the rate limits of upstreams among the hosts.
 //
-// Only few hosts send to a cold upstream: the first ones in an order by hash that all
+// A limit that an upstream states in its responses is divided in proportion to the requests
+// that each host sends to the region of the upstream.
+//
+// The limit of a cold upstream is divided without communication. Only few hosts send to a cold upstream: the first ones in an order by hash that all
 // hosts compute alike. A host that has just started may not have discovered the others
 // yet, so it also counts those that are recorded in the store, and sends nothing to cold
 // upstreams before it has read them.
 package throttler
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 )
 
 const (
@@ -25,6 +30,12 @@
 	// discoveryTime is the time that a host takes to discover the others: joining takes up
 	// to 2 s after the first seed responds, and seeds may start as late as this host.
 	discoveryTime = 6 * time.Second
+	// usableRateFraction is the fraction of an upstream's rate limit that the hosts use.
+	// The rest is for the time in which a change of the demand spreads among the hosts.
+	usableRateFraction = 0.8
+	// minFlowFactor is the least flow of a host that counts, as a fraction of the mean of
+	// all hosts, so that a host with few callers still notices the end of a limit.
+	minFlowFactor = 0.1
 	// assumedHosts is the number of hosts that is assumed before any is known. It is the
 	// size of the largest fleet in use, rounded up.
 	assumedHosts = 100
@@ -126,6 +137,20 @@
 	}
 }
 
+// RateShare returns the part of an upstream's rate limit that this host may use. flow is
+// the part of the requests to the upstream's region that comes from this host rather than
+// from other live hosts. live is the number of live hosts, and known that of all hosts in
+// the membership list. Hosts that do not respond may still send requests, so their part of
+// the limit stays unused.
+func (t *Throttler) RateShare(upstream string, flow float64, live, known int, now time.Time) registrar.Share {
+	fleet := float64(t.FleetSize(known, now))
+	fraction := max(min(flow, 1)*float64(live)/fleet, minFlowFactor/fleet)
+	return registrar.Share{
+		Fraction: usableRateFraction * fraction,
+		Phase:    float64(hostScore(t.name, upstream)) / math.MaxUint64,
+	}
+}
+
 // Rate returns how many requests per second, evenly spaced, this host may send to a cold
 // upstream with a capacity of perSecond requests per second. It may be 0.
 func (t *Throttler) Rate(upstream string, perSecond float64, now time.Time) float64 {
--- /dev/null
+++ b/internal/request/ranker/fleet_test.go
@@ -0,0 +1,414 @@
+package ranker_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
+	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
+	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
+)
+
+// The bound on the requests to an upstream with a rate limit: in any rateWindow that ends
+// rateSettleTime or more after the limit was first stated, the limit times rateFactor, plus
+// rateSlack. It counts hosts that passed on a response with the limit toldDelay before.
+const (
+	rateWindow     = 4 * time.Second
+	rateSettleTime = 3 * time.Second
+	rateFactor     = 1.5
+	rateSlack      = 5
+	toldDelay      = 500 * time.Millisecond
+)
+
+// fleetLoad describes a simulated fleet whose upstreams state rate limits for a while.
+type fleetLoad struct {
+	hosts, carriers int // carriers are the hosts that have callers
+	upstreams       int
+	perSecond       float64 // requests
+	limited         float64 // fraction of the upstreams that state a limit
+	spread          bool    // objects are spread over all regions, not only those of their callers
+	factor          float64 // the limit as a fraction of the mean rate of an upstream
+	faults          bool    // hosts restart, freeze and are cut off, and these overlap
+}
+
+const (
+	limitsBegin, limitsChange, limitsEnd = 6 * time.Second, 14 * time.Second, 24 * time.Second
+	fleetLength                          = 32 * time.Second
+	objectCount                          = 300
+)
+
+// task is a step of the simulation at a virtual time.
+type task struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type tasks []task
+
+func (q tasks) Len() int { return len(q) }
+func (q tasks) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || (q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq)
+}
+func (q tasks) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *tasks) Push(x any)   { *q = append(*q, x.(task)) }
+func (q *tasks) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// fleetHost is one host. It knows of other hosts only what syncs tell it.
+type fleetHost struct {
+	name, region string
+	epoch        int // number of its restarts
+	down, cut    bool
+	frozenUntil  time.Time
+	toldSince    map[int]time.Time // by upstream
+	throttler    *throttler.Throttler
+	surveyor     *surveyor.Surveyor
+	registrar    *registrar.Registrar
+	ranker       *ranker.Ranker
+}
+
+type fleet struct {
+	load  fleetLoad
+	rng   *rand.Rand
+	start time.Time
+	now   time.Time
+	queue tasks
+	seq   int
+	hosts []*fleetHost
+
+	limits  []float64     // by upstream, NaN for none
+	told    [][]time.Time // arrivals at each upstream from hosts that it told its limit
+	all     []int         // arrivals at each upstream while it states a limit
+	served  int
+	refused int
+}
+
+var fleetRegions = []string{"a", "b", "c"}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.queue, task{f.now.Add(d), f.seq, do})
+}
+
+func newFleet(l fleetLoad, seed uint64) *fleet {
+	f := &fleet{load: l, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0)}
+	f.now = f.start
+	f.told, f.all = make([][]time.Time, l.upstreams), make([]int, l.upstreams)
+	for range l.upstreams {
+		f.limits = append(f.limits, math.NaN())
+	}
+	for i := range l.hosts {
+		h := &fleetHost{name: fmt.Sprintf("host-%d", i), region: fleetRegions[i%len(fleetRegions)]}
+		f.hosts = append(f.hosts, h)
+		f.startProcess(h, f.start.Add(-time.Hour))
+	}
+	return f
+}
+
+// startProcess gives a host the state of a process that started at a time.
+func (f *fleet) startProcess(h *fleetHost, at time.Time) {
+	h.epoch++
+	h.toldSince = make(map[int]time.Time)
+	h.throttler = throttler.New(h.name, throttler.Limit{}, at)
+	var names []string
+	for _, o := range f.hosts {
+		names = append(names, o.name)
+	}
+	h.throttler.SetRecorded(names)
+	h.surveyor = surveyor.New(h.name, h.region, f.now)
+	h.ranker = ranker.New(h.region)
+	h.registrar = registrar.New(map[string]string{"a": "a", "b": "b", "c": "c"})
+	defer h.registrar.BeginBatch()()
+	for u := range f.load.upstreams {
+		h.registrar.Put(registrar.Registration{
+			ID: fmt.Sprintf("u%d", u), Service: "s", Zone: fleetRegions[u%len(fleetRegions)], Slots: 9, RowVersion: 1,
+		}, f.now, true)
+	}
+	epoch := h.epoch
+	var tick, sync func()
+	tick = func() {
+		if h.epoch == epoch {
+			if !f.frozen(h) {
+				h.surveyor.Tick(f.now, func(string) time.Duration { return 100 * time.Millisecond })
+			}
+			f.after(250*time.Millisecond, tick)
+		}
+	}
+	sync = func() {
+		if h.epoch == epoch {
+			f.sync(h)
+			f.after(time.Duration(100+f.rng.IntN(200))*time.Millisecond, sync)
+		}
+	}
+	f.after(time.Duration(f.rng.IntN(250))*time.Millisecond, tick)
+	f.after(time.Duration(f.rng.IntN(200))*time.Millisecond, sync)
+}
+
+func (f *fleet) frozen(h *fleetHost) bool { return f.now.Before(h.frozenUntil) }
+
+// visible reports whether a sees b in its membership.
+func visible(a, b *fleetHost) bool { return a == b || (!a.cut && !b.cut && !b.down) }
+
+// reader returns the host that sums up the demand of a region, as seen by a host.
+func (f *fleet) reader(h *fleetHost, region string) *fleetHost {
+	for _, o := range f.hosts {
+		if o.region == region && visible(h, o) {
+			return o
+		}
+	}
+	return nil
+}
+
+func (f *fleet) sync(h *fleetHost) {
+	partner := f.hosts[f.rng.IntN(len(f.hosts))]
+	if f.rng.IntN(2) == 0 {
+		region := h.region
+		if f.reader(h, region) == h || f.rng.IntN(4) == 0 {
+			region = fleetRegions[f.rng.IntN(len(fleetRegions))]
+		}
+		partner = f.reader(h, region)
+	}
+	if partner == nil || partner == h || !visible(h, partner) || f.frozen(h) || f.frozen(partner) {
+		return
+	}
+	sent := h.surveyor.Demands(f.reader(h, h.region) == h, f.now)
+	h.surveyor.Merge(partner.surveyor.Demands(f.reader(partner, partner.region) == partner, f.now), f.now)
+	partner.surveyor.Merge(sent, f.now)
+}
+
+// rateShare combines the parts as package conductor does.
+func (f *fleet) rateShare(h *fleetHost, u *registrar.Upstream) registrar.Share {
+	live := 0
+	for _, o := range f.hosts {
+		if visible(h, o) {
+			live++
+		}
+	}
+	var weights [][]float64
+	for from := range fleetRegions {
+		weights = append(weights, f.weights(h, from))
+	}
+	flows := apportioner.FlowShares(slices.Index(fleetRegions, h.region), h.surveyor.OwnBusySlots("s"), f.demand(h), weights)
+	return h.throttler.RateShare(u.ID(), flows[slices.Index(fleetRegions, u.Region())], live, len(f.hosts), f.now)
+}
+
+// demand returns the demand of all regions as known to a host.
+func (f *fleet) demand(h *fleetHost) []float64 {
+	return h.surveyor.BusySlots("s", fleetRegions, f.reader(h, h.region) == h)
+}
+
+// weights returns the planned weights of a region's callers as known to a host.
+func (f *fleet) weights(h *fleetHost, from int) []float64 {
+	slots := make([]float64, len(fleetRegions))
+	for i, region := range fleetRegions {
+		slots[i] = float64(h.registrar.Group("s").Slots(region))
+	}
+	if f.load.spread {
+		return apportioner.ProportionalWeights(slots)
+	}
+	return apportioner.LocalFirstWeights(from, f.demand(h), slots)
+}
+
+// request handles one request of a caller at a host.
+func (f *fleet) request(h *fleetHost, object uint64) {
+	if f.frozen(h) {
+		f.after(h.frozenUntil.Sub(f.now), func() { f.request(h, object) })
+		return
+	}
+	if h.down {
+		return
+	}
+	h.surveyor.CountRequest("s")
+	c := h.ranker.Choose(f.now, "s", &ranker.Query{
+		Group: h.registrar.Group("s"), Route: "s", Regions: fleetRegions, Weights: f.weights(h, slices.Index(fleetRegions, h.region)), Object: object,
+		Remaining: 2 * time.Second, LatencyTarget: 400 * time.Millisecond,
+		ColdRate:         func(*registrar.Upstream) float64 { return 0 },
+		RateShare:        func(u *registrar.Upstream) registrar.Share { return f.rateShare(h, u) },
+		AllowCrossRegion: func(bool) bool { return false },
+	})
+	if c.Upstream == nil {
+		f.refused++
+		return
+	}
+	f.served++
+	c.Upstream.BeginRequest()
+	sent, epoch := f.now, h.epoch
+	f.after(time.Duration(1+f.rng.IntN(55))*time.Millisecond, func() { f.arrive(h, c, object, sent, epoch) })
+}
+
+// arrive runs a request at its upstream.
+func (f *fleet) arrive(h *fleetHost, c ranker.Choice, object uint64, sent time.Time, epoch int) {
+	var u int
+	_, _ = fmt.Sscanf(c.Upstream.ID(), "u%d", &u)
+	if !math.IsNaN(f.limits[u]) {
+		f.all[u]++
+	}
+	if since, ok := h.toldSince[u]; ok && h.epoch == epoch && f.now.Sub(since) >= toldDelay {
+		f.told[u] = append(f.told[u], f.now)
+	}
+	f.after(time.Duration(80+f.rng.IntN(40))*time.Millisecond, func() { f.respond(h, c, u, object, sent, epoch, f.limits[u]) })
+}
+
+// respond delivers the response of an upstream to its host.
+func (f *fleet) respond(h *fleetHost, c ranker.Choice, u int, object uint64, sent time.Time, epoch int, limit float64) {
+	if f.frozen(h) {
+		f.after(h.frozenUntil.Sub(f.now), func() { f.respond(h, c, u, object, sent, epoch, limit) })
+		return
+	}
+	if h.epoch != epoch {
+		return
+	}
+	c.Upstream.EndRequest()
+	c.Upstream.MarkWarm(object, f.now)
+	c.Upstream.RecordSuccess(f.now, 1)
+	if math.IsNaN(limit) {
+		c.Upstream.RecordNoRateLimit(sent)
+		return
+	}
+	c.Upstream.RecordRateLimit(registrar.RateLimit(limit), f.now)
+	if _, ok := h.toldSince[u]; !ok {
+		h.toldSince[u] = f.now
+	}
+}
+
+// injectFault restarts, freezes or cuts off a host with callers.
+func (f *fleet) injectFault() {
+	h := f.hosts[f.rng.IntN(f.load.carriers)]
+	length := time.Duration(200+f.rng.IntN(5000)) * time.Millisecond
+	switch f.rng.IntN(3) {
+	case 0:
+		if h.down {
+			return
+		}
+		h.down, h.frozenUntil = true, time.Time{}
+		h.epoch++
+		f.after(min(length, 2*time.Second), func() {
+			h.down = false
+			f.startProcess(h, f.now)
+		})
+	case 1:
+		h.frozenUntil = f.now.Add(length)
+	case 2:
+		h.cut = true
+		f.after(length, func() { h.cut = false })
+	}
+}
+
+// run plays the load: limits begin, change to half and end.
+func (f *fleet) run() {
+	var arrive, fault func()
+	arrive = func() {
+		f.request(f.hosts[f.rng.IntN(f.load.carriers)], (f.rng.Uint64N(objectCount)+1)*0x9e3779b97f4a7c15)
+		f.after(time.Duration(f.rng.ExpFloat64()/f.load.perSecond*float64(time.Second)), arrive)
+	}
+	fault = func() {
+		f.injectFault()
+		f.after(time.Duration(f.rng.IntN(1000))*time.Millisecond, fault)
+	}
+	f.after(0, arrive)
+	if f.load.faults {
+		f.after(limitsBegin, fault)
+	}
+	limited := max(1, int(f.load.limited*float64(f.load.upstreams)))
+	set := func(factor float64) func() {
+		return func() {
+			for u := range limited {
+				f.limits[u] = factor * f.load.perSecond / float64(f.load.upstreams)
+			}
+		}
+	}
+	f.after(limitsBegin, set(f.load.factor))
+	f.after(limitsChange, set(f.load.factor/2))
+	f.after(limitsEnd, set(math.NaN()))
+	for len(f.queue) > 0 {
+		t := heap.Pop(&f.queue).(task)
+		if f.now = t.at; f.now.Sub(f.start) > fleetLength {
+			return
+		}
+		t.do()
+	}
+}
+
+// check compares the arrivals at each upstream with the bound. The lower limit counts from
+// rateSettleTime after the change.
+func (f *fleet) check(t *testing.T) (worst float64) {
+	t.Helper()
+	for _, arrivals := range f.told {
+		limit := f.load.factor * f.load.perSecond / float64(f.load.upstreams)
+		first := 0
+		for i, at := range arrivals {
+			for at.Sub(arrivals[first]) >= rateWindow {
+				first++
+			}
+			since := at.Sub(f.start)
+			if since < limitsBegin+rateSettleTime || since > limitsEnd {
+				continue
+			}
+			stated := limit
+			if since >= limitsChange+rateWindow {
+				stated = limit / 2
+			}
+			bound := rateFactor*stated*rateWindow.Seconds() + rateSlack
+			worst = max(worst, float64(i-first+1)/bound)
+		}
+	}
+	return worst
+}
+
+// Guards against hosts that know the rate limit of an upstream and together exceed it: when
+// each uses it as its own, when callers move between hosts, and when hosts restart, freeze
+// or are cut off from each other at the same time.
+func TestFleetStaysWithinRateLimits(t *testing.T) {
+	small := fleetLoad{hosts: 12, carriers: 12, upstreams: 20, perSecond: 450, limited: 0.1, factor: 0.35}
+	grown := fleetLoad{hosts: 84, carriers: 18, upstreams: 224, perSecond: 1375, limited: 0.1, factor: 0.35}
+	large := fleetLoad{hosts: 295, carriers: 295, upstreams: 891, perSecond: 3097, limited: 0.1, factor: 0.35}
+	with := func(l fleetLoad, change func(l *fleetLoad)) fleetLoad {
+		change(&l)
+		return l
+	}
+	for name, c := range map[string]struct {
+		load  fleetLoad
+		seeds uint64
+	}{
+		"12 hosts":                  {small, 10},
+		"12 hosts, faults":          {with(small, func(l *fleetLoad) { l.faults = true }), 20},
+		"12 hosts, low limit":       {with(small, func(l *fleetLoad) { l.factor = 0.02 }), 10},
+		"12 hosts, spread, faults":  {with(small, func(l *fleetLoad) { l.faults, l.spread = true, true }), 20},
+		"12 hosts, all are limited": {with(small, func(l *fleetLoad) { l.limited = 1 }), 5},
+		"84 hosts":                  {grown, 2},
+		"84 hosts, faults":          {with(grown, func(l *fleetLoad) { l.faults = true }), 4},
+		"295 hosts, faults":         {with(large, func(l *fleetLoad) { l.faults = true }), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range c.seeds {
+				f := newFleet(c.load, seed)
+				f.run()
+				worst := f.check(t)
+				sum := 0
+				limited := max(1, int(c.load.limited*float64(c.load.upstreams)))
+				for _, n := range f.all[:limited] {
+					sum += n
+				}
+				limit := c.load.factor * c.load.perSecond / float64(c.load.upstreams)
+				allowed := float64(limited) * limit * ((limitsChange - limitsBegin).Seconds() + (limitsEnd-limitsChange).Seconds()/2)
+				t.Logf("seed %d: served %d, refused %d, worst %.2f of the bound, upstreams with a limit got %.2f of it", seed, f.served, f.refused, worst, float64(sum)/allowed)
+				assert.Check(t, worst <= 1, "seed %d: %.2f of the bound", seed, worst)
+			}
+		})
+	}
+}
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -74,6 +74,9 @@
 	// ColdRate returns how many requests per second this host may send to a cold
 	// upstream.
 	ColdRate func(u *registrar.Upstream) float64
+	// RateShare returns the part of the rate limit of an upstream that this host may use.
+	// Nil means the whole limit.
+	RateShare func(u *registrar.Upstream) registrar.Share
 	// AllowCrossRegion reports whether the request may leave its planned region, and
 	// counts it if so. Failing means that upstreams of that region fail. Nil allows all.
 	AllowCrossRegion func(failing bool) bool
@@ -101,6 +104,7 @@
 	PastDeadline       int // no response is expected before the deadline
 	NoWarmUpCapacity   int // the object is not cached, and the upstream is too busy to load it
 	ColdLimited        int // the rate limit of the cold upstream is used up
+	RateLimited        int // this host's part of the upstream's rate limit is used up
 	CrossRegionLimited int // too many requests left their planned region
 }
 
@@ -189,28 +193,44 @@
 	Choice
 	cost       time.Duration
 	minLatency time.Duration // smallest plausible time from dispatch to the response
+	rateWait   time.Duration // until the rate limit of the upstream allows a request
+	leading    bool          // the first of its region for the object, or those before it have a rate limit
 	doubtful   bool          // the upstream fails requests, is much slower than its peers, or is cold
 }
 
+// maxAdmissionTries bounds how often Choose looks for another upstream because concurrent
+// requests used up the rate limit of the one that it found.
+const maxAdmissionTries = 3
+
 // Choose returns the upstream with the earliest expected response, or the time until
 // one has capacity.
 func (r *Ranker) Choose(now time.Time, service string, q *Query) Choice {
-	plannedIndex := q.plannedRegion()
 	times := r.estimateServiceTimes(now, service, q.Route)
+	var c Choice
+	var excluded Excluded
+	for range maxAdmissionTries {
+		c = r.find(now, q, &times)
+		switch u := c.Upstream; {
+		case u == nil:
+			return c
+		case u.Cold(now) && !u.AdmitCold(now, q.ColdRate(u)):
+			excluded.ColdLimited++
+		case u.RateLimited() && !u.AdmitRateLimited(now, q.rateShare(u)):
+			excluded.RateLimited++
+		default:
+			return c
+		}
+	}
+	return Choice{UntilCapacity: times.Warm, EarliestResponse: c.QueueWait + c.UnloadedLatency, Excluded: excluded}
+}
+
+// find returns the upstream with the earliest expected response, without counting the
+// request against its rate limits.
+func (r *Ranker) find(now time.Time, q *Query, times *serviceTimes) Choice {
+	plannedIndex := q.plannedRegion()
 	s := search{planned: candidate{cost: math.MaxInt64}, other: candidate{cost: math.MaxInt64}, untilCapacity: math.MaxInt64, earliestResponse: math.MaxInt64}
 	for i, region := range q.Regions {
-		n := otherRegionCandidates
-		if i == plannedIndex {
-			n = plannedRegionCandidates
-		}
-		for rank, u := range q.topUpstreams(region, n) {
-			if u == nil || q.tried(u) {
-				continue
-			}
-			c := r.evaluate(now, u, q.Object, rank, &times)
-			c.Planned = i == plannedIndex
-			s.consider(now, q, &c)
-		}
+		r.considerRegion(now, q, &s, region, i == plannedIndex, times)
 	}
 	best := s.planned
 	if s.other.Upstream != nil && s.other.cost+minCrossRegionGain < s.planned.cost && q.allowCrossRegion(s.failing || len(q.Tried) > 0 || plannedIndex < 0) {
@@ -222,13 +242,33 @@
 		}
 		return Choice{UntilCapacity: max(0, s.untilCapacity), EarliestResponse: s.earliestResponse, Excluded: s.excluded}
 	}
-	if best.Upstream.Cold(now) && !best.Upstream.AdmitCold(now, q.ColdRate(best.Upstream)) {
-		s.excluded.ColdLimited++
-		return Choice{UntilCapacity: times.Warm, EarliestResponse: best.QueueWait + best.UnloadedLatency, Excluded: s.excluded}
-	}
 	return best.Choice
 }
 
+// considerRegion compares the candidates of a region with the best so far.
+func (r *Ranker) considerRegion(now time.Time, q *Query, s *search, region string, planned bool, times *serviceTimes) {
+	n := otherRegionCandidates
+	if planned {
+		n = plannedRegionCandidates
+	}
+	leading := true
+	for rank, u := range q.topUpstreams(region, n) {
+		if u == nil {
+			return
+		}
+		limited := u.RateLimited()
+		if !q.tried(u) {
+			c := r.evaluate(now, u, q.Object, leading, times)
+			c.Rank, c.Planned = rank, planned
+			if limited {
+				c.rateWait = u.RateLimitWait(now, q.rateShare(u))
+			}
+			s.consider(now, q, &c)
+		}
+		leading = leading && limited
+	}
+}
+
 // search holds the state of the comparison of candidates for one query.
 type search struct {
 	planned, other   candidate     // best in the planned region and elsewhere
@@ -246,7 +286,7 @@
 		s.failing = s.failing || c.doubtful
 	}
 	maxWait := time.Duration(maxQueueWaitFactor * float64(q.LatencyTarget))
-	s.untilCapacity = min(s.untilCapacity, c.QueueWait-maxWait)
+	s.untilCapacity = min(s.untilCapacity, max(c.QueueWait-maxWait, c.rateWait))
 	s.earliestResponse = min(s.earliestResponse, c.QueueWait+c.minLatency)
 	switch {
 	case c.cost >= best.cost:
@@ -258,6 +298,8 @@
 		s.excluded.NoWarmUpCapacity++
 	case !coldLimitAllows(now, q, c.Upstream):
 		s.excluded.ColdLimited++
+	case c.rateWait > 0:
+		s.excluded.RateLimited++
 	default:
 		*best = *c
 	}
@@ -272,7 +314,7 @@
 // allowsObject reports whether the upstream may get the object: the object is in its
 // cache, or it is the one that warms it up for all hosts, or it has capacity to do so.
 func (c *candidate) allowsObject(now time.Time, object uint64) bool {
-	if object == 0 || c.Warm || (c.Planned && c.Rank == 0) {
+	if object == 0 || c.Warm || (c.Planned && c.leading) {
 		return true
 	}
 	return c.hasWarmUpCapacity(now)
@@ -285,9 +327,9 @@
 }
 
 // evaluate estimates when the upstream would respond.
-func (r *Ranker) evaluate(now time.Time, u *registrar.Upstream, object uint64, rank int, times *serviceTimes) candidate {
+func (r *Ranker) evaluate(now time.Time, u *registrar.Upstream, object uint64, leading bool, times *serviceTimes) candidate {
 	cached := object != 0 && u.WarmFor(object, now)
-	c := candidate{Choice: Choice{Upstream: u, Rank: rank, Warm: cached, Load: u.EstimatedLoad(now), UnloadedLatency: times.Cold}}
+	c := candidate{Choice: Choice{Upstream: u, Warm: cached, Load: u.EstimatedLoad(now), UnloadedLatency: times.Cold}, leading: leading}
 	slowdown, failureRatio := u.Quality(now)
 	if cached {
 		c.UnloadedLatency = times.Warm
@@ -295,11 +337,11 @@
 	if excess := c.Load + 1 - float64(u.Slots()); excess > 0 {
 		c.QueueWait = time.Duration(excess * float64(times.queueMean) * slowdown / float64(u.Slots()))
 	}
-	// The first-ranked upstream warms up the object for all hosts, so it is rated as if
+	// The leading upstream warms up the object for all hosts, so it is rated as if
 	// the object were cached, even if the cold service time exceeds the deadline. Either
 	// a request of another host has warmed it up, or otherwise no upstream ever would.
 	rankingTime := c.UnloadedLatency
-	if rank == 0 && object != 0 {
+	if leading && object != 0 {
 		rankingTime = times.Warm
 	}
 	minTime := rankingTime
@@ -329,6 +371,13 @@
 	return q.AllowCrossRegion == nil || q.AllowCrossRegion(failing)
 }
 
+func (q *Query) rateShare(u *registrar.Upstream) registrar.Share {
+	if q.RateShare == nil {
+		return registrar.Share{Fraction: 1}
+	}
+	return q.RateShare(u)
+}
+
 func (q *Query) tried(u *registrar.Upstream) bool {
 	for _, t := range q.Tried {
 		if t.ID() == u.ID() {
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -238,7 +238,7 @@
 	weights := o.Plan.RegionWeights(x.service, x.route.Class)
 	q := ranker.Query{
 		Group: o.Upstreams.Group(x.service), Route: x.route.Name, Regions: o.Regions, Weights: weights,
-		Object: x.object, RandomKey: x.randomKey, Remaining: remaining, LatencyTarget: x.route.LatencyTarget, Tried: x.tried, ColdRate: x.coldRate, AllowCrossRegion: o.Plan.AllowCrossRegion,
+		Object: x.object, RandomKey: x.randomKey, Remaining: remaining, LatencyTarget: x.route.LatencyTarget, Tried: x.tried, ColdRate: x.coldRate, RateShare: o.RateShare, AllowCrossRegion: o.Plan.AllowCrossRegion,
 	}
 	if q.Group == nil {
 		return ranker.Choice{UntilCapacity: maxRetryAfter}
@@ -365,7 +365,7 @@
 		e := x.noUpstream.Excluded
 		entry.Str("kind", kind.String()).Err(err).Dur("room", x.noUpstream.UntilCapacity).
 			Dur("left", x.deadline.Sub(x.call.Arrived)).Dur("soonest", x.noUpstream.EarliestResponse).Dict("excluded", zerolog.Dict().
-			Int("queue", e.QueueTooLong).Int("late", e.PastDeadline).Int("unknown", e.NoWarmUpCapacity).Int("cold", e.ColdLimited).Int("far", e.CrossRegionLimited))
+			Int("queue", e.QueueTooLong).Int("late", e.PastDeadline).Int("unknown", e.NoWarmUpCapacity).Int("cold", e.ColdLimited).Int("limited", e.RateLimited).Int("far", e.CrossRegionLimited))
 	}
 	attempts := zerolog.Arr()
 	for _, a := range x.attempts {
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -88,7 +88,10 @@
 	Plan    Planner
 	// ColdRate returns how many requests per second this host may send to a cold upstream
 	// with a capacity of perSecond requests per second.
-	ColdRate  func(u *registrar.Upstream, perSecond float64) float64
+	ColdRate func(u *registrar.Upstream, perSecond float64) float64
+	// RateShare returns the part of the rate limit of an upstream that this host may use.
+	// The default is the whole limit.
+	RateShare func(u *registrar.Upstream) registrar.Share
 	Upstreams *registrar.Registrar
 	Ranker    *ranker.Ranker
 	Budget    *budgeter.Budgeter
