Pass rate limits of upstreams on between hosts

In a fleet of 295 hosts each host sends an upstream a request in a minute or two, so it learned of a rate limit, and of a lower one, long after the upstream stated it.

Change: syncs between hosts carry rate limits with their age: up to 96 that are news, otherwise up to 12. A host that only knows a limit from others drops it when it is not stated anew for 20 s. An old statement, or one of an earlier process, is ignored; news of the end of a limit is not passed on, because a host that was paused could pass on old news.

--- a/internal/process/conductor/exchange.go
+++ b/internal/process/conductor/exchange.go
@@ -9,6 +9,8 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -41,11 +43,13 @@
 	return live[rand.IntN(len(live))].Address, true
 }
 
-// syncWith sends the demand and the table versions of this host to another host, and
-// merges the demand and the rows of its response.
+// syncWith sends the demand, the rate limits of upstreams and the table versions that this
+// host knows to another host, and merges the demand, the limits and the rows of its
+// response.
 func (c *Conductor) syncWith(ctx context.Context, address string) {
 	timeout := syncTimeout
-	request := &framer.Sync{Demands: c.surveyor.Demands(c.readsStore.Load(), time.Now())}
+	now := time.Now()
+	request := &framer.Sync{Demands: c.surveyor.Demands(c.readsStore.Load(), now), RateLimits: c.rateLimits(now)}
 	for name, f := range c.followers {
 		if version, full, ok := f.SyncRequest(); ok {
 			request.Tables = append(request.Tables, &framer.TableVersion{Table: name, Version: version, Whole: full})
@@ -66,7 +70,9 @@
 	}
 	c.lastContact.Store(int64(time.Since(c.started)))
 	response := envelope.GetSynced()
-	c.surveyor.Merge(response.GetDemands(), time.Now())
+	now = time.Now()
+	c.surveyor.Merge(response.GetDemands(), now)
+	c.mergeRateLimits(response.GetRateLimits(), now)
 	for _, t := range response.GetTables() {
 		f := c.followers[t.Table]
 		if f == nil {
@@ -99,11 +105,42 @@
 	}
 }
 
-// syncResponse merges the demand of another host and returns the demand and the rows that
-// it lacks.
+// rateLimits returns the rate limits of upstreams to send to another host.
+func (c *Conductor) rateLimits(now time.Time) []*framer.RateLimit {
+	var out []*framer.RateLimit
+	for _, l := range c.registrar.RateLimits(now, maxRateLimitNews, maxRateLimitsConfirmed) {
+		out = append(out, &framer.RateLimit{
+			Upstream: l.Upstream, Start: l.StartUnixMilli, PerSecond: float64(l.PerSecond), AgeMilliseconds: now.Sub(l.StatedAt).Milliseconds(),
+		})
+	}
+	return out
+}
+
+// mergeRateLimits applies the rate limits that another host sent.
+func (c *Conductor) mergeRateLimits(limits []*framer.RateLimit, now time.Time) {
+	var in []registrar.StatedRateLimit
+	for _, l := range limits {
+		if l.AgeMilliseconds < 0 {
+			continue // it would outlive all others
+		}
+		in = append(in, registrar.StatedRateLimit{
+			Upstream: l.Upstream, StartUnixMilli: l.Start, PerSecond: registrar.RateLimit(l.PerSecond),
+			StatedAt: now.Add(-time.Duration(l.AgeMilliseconds) * time.Millisecond),
+		})
+	}
+	for _, l := range c.registrar.MergeRateLimits(in, now) {
+		c.log.Event(logger.RateLimitChanged).Str("upstream", l.Upstream).Float64("limit", float64(l.PerSecond)).
+			Bool("limited", true).Dur("age", now.Sub(l.StatedAt)).Send()
+	}
+}
+
+// syncResponse merges the demand and the rate limits of another host and returns those of
+// this host and the rows that the other one lacks.
 func (c *Conductor) syncResponse(request *framer.Sync) *framer.Synced {
-	c.surveyor.Merge(request.Demands, time.Now())
-	out := &framer.Synced{Demands: c.surveyor.Demands(c.readsStore.Load(), time.Now())}
+	now := time.Now()
+	c.surveyor.Merge(request.Demands, now)
+	c.mergeRateLimits(request.RateLimits, now)
+	out := &framer.Synced{Demands: c.surveyor.Demands(c.readsStore.Load(), now), RateLimits: c.rateLimits(now)}
 	for _, t := range request.Tables {
 		f := c.followers[t.Table]
 		if f == nil {
--- a/internal/process/conductor/fleet_internal_test.go
+++ b/internal/process/conductor/fleet_internal_test.go
@@ -11,6 +11,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
@@ -149,3 +150,22 @@
 		assert.Assert(t, c.isReader())
 	})
 }
+
+// Guards against rate limits that change on their way to another host, and against one that
+// no later statement could replace.
+func TestRateLimitsPassBetweenHosts(t *testing.T) {
+	now := time.Now()
+	host := func() *Conductor {
+		c := &Conductor{registrar: registrar.New(map[string]string{"z": "r"})}
+		c.registrar.Put(registrar.Registration{ID: "x", Service: "s", Zone: "z", Slots: 1, RowVersion: 1, StartUnixMilli: 7}, now, true)
+		return c
+	}
+	upstream := func(c *Conductor) *registrar.Upstream { return c.registrar.Group("s").Upstreams()[0] }
+	a, b := host(), host()
+	upstream(a).RecordRateLimit(2.5, now.Add(-3*time.Second))
+	b.mergeRateLimits(a.rateLimits(now), now)
+	assert.Equal(t, upstream(b).RateLimit(now), registrar.RateLimit(2.5))
+	assert.Equal(t, b.registrar.RateLimits(now, 1, 1)[0].StatedAt, now.Add(-3*time.Second))
+	b.mergeRateLimits([]*framer.RateLimit{{Upstream: "x", Start: 7, PerSecond: 9, AgeMilliseconds: -1000}}, now)
+	assert.Equal(t, upstream(b).RateLimit(now), registrar.RateLimit(2.5))
+}
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -25,10 +25,15 @@
 	syncTimeout      = 600 * time.Millisecond
 	// fullSyncTimeout bounds a sync that may transfer a full table: 1 MB, for 3,000
 	// upstreams, takes 0.8 s on the slowest supported link (10 Mbit/s).
-	fullSyncTimeout  = 2 * time.Second
-	announceInterval = 15 * time.Second
-	announceTimeout  = 3 * time.Second
-	leaveTimeout     = 400 * time.Millisecond
+	fullSyncTimeout = 2 * time.Second
+	// maxRateLimitNews and maxRateLimitsConfirmed bound the rate limits of upstreams in a
+	// message to another host. With ten messages per second and 35 bytes for a limit, that
+	// is 34 KB/s while there is much news, and otherwise 4 KB/s.
+	maxRateLimitNews       = 96
+	maxRateLimitsConfirmed = 12
+	announceInterval       = 15 * time.Second
+	announceTimeout        = 3 * time.Second
+	leaveTimeout           = 400 * time.Millisecond
 	// maxLeaveNotifications bounds the number of hosts that a leaving host notifies
 	// directly. Those spread the change to the others.
 	maxLeaveNotifications = 16
--- a/internal/process/registrar/ratelimit.go
+++ b/internal/process/registrar/ratelimit.go
@@ -1,24 +1,36 @@
 package registrar
 
-import "time"
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
 
 // RateLimit is the rate of requests, in requests per second, that an upstream accepts from
 // all hosts together.
 type RateLimit float64
 
-// responsesToEndRateLimit is the number of responses without a rate limit after which an
-// upstream counts as having none.
-const responsesToEndRateLimit = 2
-
-// minRateLimit is the rate, in requests per second of all hosts together, at which an
-// upstream is sent requests even if it states a lower limit. Only a response shows that
-// the limit has ended.
-const minRateLimit = 0.25
-
-// maxRequestInterval bounds the time between two requests of a host to an upstream.
-const maxRequestInterval = 10 * time.Minute
-
 const (
+	// responsesToEndRateLimit is the number of responses without a rate limit after which
+	// an upstream counts as having none.
+	responsesToEndRateLimit = 2
+	// learnedRateLimitTTL is how long a rate limit that this host only knows from other
+	// hosts counts without being stated anew. Each message between hosts confirms only some
+	// of the known limits.
+	learnedRateLimitTTL = 20 * time.Second
+	// minRateLimitChange is the change of a limit, as a fraction, that is news for other
+	// hosts. Smaller ones spread with the next confirmation.
+	minRateLimitChange = 0.2
+	// newsTransmissions is the number of messages in which a host sends news. It exceeds
+	// log2 of the number of hosts, so that news reaches all of them.
+	newsTransmissions = 14
+	// minRateLimit is the rate, in requests per second of all hosts together, at which an
+	// upstream is sent requests even if it states a lower limit. Only a response shows
+	// that the limit has ended.
+	minRateLimit = 0.25
+	// maxRequestInterval bounds the time between two requests of a host to an upstream.
+	maxRequestInterval = 10 * time.Minute
 	// sparseInterval is the time between two requests of a host above which its rate is
 	// reduced by sparseFactor. The requests of many hosts that each send one now and then
 	// are not evenly spaced, so their number in a few seconds may exceed the mean by far.
@@ -30,8 +42,20 @@
 type rateLimit struct {
 	perSecond   RateLimit
 	statedAt    time.Time // time of the last response that stated it, zero without a limit
-	without     int       // responses since then that did not state it
+	own         bool      // a response to this host stated it
+	without     int       // responses to this host since statedAt that did not state it
+	endedAt     time.Time // time of the request whose response ended the previous limit
 	lastRequest time.Time // of this host, zero before the first
+	news        RateLimit // the limit that was last news
+	sent        int       // messages to other hosts since then
+}
+
+// set records a statement of the limit.
+func (l *rateLimit) set(perSecond RateLimit, statedAt time.Time) {
+	if l.statedAt.IsZero() || math.Abs(float64(perSecond-l.news)) > minRateLimitChange*float64(l.news) {
+		l.news, l.sent = perSecond, 0
+	}
+	l.perSecond, l.statedAt, l.without = perSecond, statedAt, 0
 }
 
 // Share is the part of the rate limit of an upstream that one host may use.
@@ -42,13 +66,23 @@
 	Phase float64
 }
 
+// StatedRateLimit is a rate limit that an upstream stated in a response to some host.
+type StatedRateLimit struct {
+	Upstream       string // its ID
+	StartUnixMilli int64  // start time of its process
+	PerSecond      RateLimit
+	StatedAt       time.Time
+}
+
 // RecordRateLimit records that a response of the upstream stated a rate limit. It reports
-// whether the upstream had none before.
+// whether this host knew of none before.
 func (u *Upstream) RecordRateLimit(perSecond RateLimit, now time.Time) (began bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	began = u.limit.statedAt.IsZero()
-	u.limit.perSecond, u.limit.statedAt, u.limit.without = perSecond, now, 0
+	began = !u.hasRateLimit(now)
+	u.limit.set(perSecond, now)
+	u.limit.own = true
+	u.rateLimited.Store(true)
 	return began
 }
 
@@ -65,21 +99,44 @@
 	if u.limit.without++; u.limit.without < responsesToEndRateLimit {
 		return false
 	}
-	u.limit = rateLimit{}
+	u.resetRateLimit(sent)
 	return true
 }
 
-// RateLimit returns the rate limit of the upstream. ok is false if it has none.
-func (u *Upstream) RateLimit() (perSecond RateLimit, ok bool) {
+// resetRateLimit removes the rate limit. Statements up to endedAt no longer count. The
+// caller must hold mu.
+func (u *Upstream) resetRateLimit(endedAt time.Time) {
+	u.limit = rateLimit{endedAt: endedAt}
+	u.rateLimited.Store(false)
+}
+
+// hasRateLimit reports whether the upstream has a rate limit. The caller must hold mu.
+func (u *Upstream) hasRateLimit(now time.Time) bool {
+	l := &u.limit
+	if !l.statedAt.IsZero() && !l.own && now.Sub(l.statedAt) > learnedRateLimitTTL {
+		u.resetRateLimit(l.statedAt)
+	}
+	return !l.statedAt.IsZero()
+}
+
+// RateLimited reports whether the upstream has a rate limit.
+func (u *Upstream) RateLimited(now time.Time) bool {
+	if !u.rateLimited.Load() {
+		return false
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.limit.perSecond, !u.limit.statedAt.IsZero()
+	return u.hasRateLimit(now)
 }
 
-// RateLimited reports whether the upstream has a rate limit.
-func (u *Upstream) RateLimited() bool {
-	_, ok := u.RateLimit()
-	return ok
+// RateLimit returns the rate limit of the upstream, and 0 if it has none.
+func (u *Upstream) RateLimit(now time.Time) RateLimit {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.hasRateLimit(now) {
+		return 0
+	}
+	return u.limit.perSecond
 }
 
 // RateLimitWait returns how long a host with the given share has to wait until it may send
@@ -87,6 +144,9 @@
 func (u *Upstream) RateLimitWait(now time.Time, s Share) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if !u.hasRateLimit(now) {
+		return 0
+	}
 	return u.limit.wait(now, s)
 }
 
@@ -96,6 +156,9 @@
 func (u *Upstream) AdmitRateLimited(now time.Time, s Share) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if !u.hasRateLimit(now) {
+		return true
+	}
 	if u.limit.wait(now, s) > 0 {
 		return false
 	}
@@ -103,12 +166,9 @@
 	return true
 }
 
-// wait returns the time until the next request of a host, which is 0 without a limit. The
-// first call after the limit was stated determines the time of the host's first request.
+// wait returns the time until the next request of a host. The first call after the limit
+// was stated determines the time of the host's first request.
 func (l *rateLimit) wait(now time.Time, s Share) time.Duration {
-	if l.statedAt.IsZero() {
-		return 0
-	}
 	interval := requestInterval(s.Fraction * max(float64(l.perSecond), minRateLimit))
 	if l.lastRequest.IsZero() {
 		l.lastRequest = now.Add(-time.Duration((1 - s.Phase) * float64(interval)))
@@ -125,3 +185,79 @@
 	}
 	return interval
 }
+
+// RateLimits returns known rate limits to send to another host: up to maxNews of those that
+// other hosts may not know yet, and with less news up to maxConfirmed of the others.
+func (r *Registrar) RateLimits(now time.Time, maxNews, maxConfirmed int) []StatedRateLimit {
+	var news, known []*Upstream
+	for _, g := range *r.groups.Load() {
+		for _, u := range g.upstreams {
+			switch {
+			case !u.RateLimited(now):
+			case u.hasRateLimitNews():
+				news = append(news, u)
+			default:
+				known = append(known, u)
+			}
+		}
+	}
+	news = rotate(news, maxNews)
+	var out []StatedRateLimit
+	for _, u := range append(news, rotate(known, maxConfirmed-len(news))...) {
+		out = append(out, u.transmitRateLimit())
+	}
+	return out
+}
+
+// rotate returns up to n upstreams from a random one on.
+func rotate(upstreams []*Upstream, n int) []*Upstream {
+	if n <= 0 || len(upstreams) <= n {
+		return upstreams[:max(0, min(n, len(upstreams)))]
+	}
+	first := rand.N(len(upstreams))
+	return slices.Concat(upstreams[first:], upstreams[:first])[:n]
+}
+
+func (u *Upstream) hasRateLimitNews() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.limit.sent < newsTransmissions
+}
+
+// transmitRateLimit returns the rate limit for a message to another host.
+func (u *Upstream) transmitRateLimit() StatedRateLimit {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit.sent++
+	return StatedRateLimit{Upstream: u.id, StartUnixMilli: u.startUnixMilli, PerSecond: u.limit.perSecond, StatedAt: u.limit.statedAt}
+}
+
+// MergeRateLimits applies rate limits that another host knows. Those of unknown upstreams
+// and of earlier processes, and those that are older than what this host knows, are
+// ignored. It returns those of upstreams without a known limit.
+func (r *Registrar) MergeRateLimits(limits []StatedRateLimit, now time.Time) (began []StatedRateLimit) {
+	for _, l := range limits {
+		r.mu.Lock()
+		u := r.upstreams[l.Upstream]
+		r.mu.Unlock()
+		if u == nil || !(l.PerSecond >= 0) || now.Sub(l.StatedAt) > learnedRateLimitTTL {
+			continue
+		}
+		if u.learnRateLimit(l, now) {
+			began = append(began, l)
+		}
+	}
+	return began
+}
+
+func (u *Upstream) learnRateLimit(l StatedRateLimit, now time.Time) (began bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	began = !u.hasRateLimit(now)
+	if l.StartUnixMilli != u.startUnixMilli || !l.StatedAt.After(u.limit.statedAt) || !l.StatedAt.After(u.limit.endedAt) {
+		return false
+	}
+	u.limit.set(l.PerSecond, l.StatedAt)
+	u.rateLimited.Store(true)
+	return began
+}
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -49,7 +49,8 @@
 	slots                              int
 	hash                               uint64
 
-	inFlight atomic.Int64
+	inFlight    atomic.Int64
+	rateLimited atomic.Bool // whether limit holds a rate limit
 
 	// rowVersion and draining are guarded by Registrar.mu.
 	rowVersion uint64
@@ -88,6 +89,7 @@
 	u.coldUntil, u.suspectSince, u.nextColdRequest = old.coldUntil, old.suspectSince, old.nextColdRequest
 	if u.startUnixMilli == old.startUnixMilli {
 		u.limit = old.limit
+		u.rateLimited.Store(old.rateLimited.Load())
 	}
 }
 
@@ -140,7 +142,7 @@
 func (u *Upstream) resetProcessState() {
 	u.warmObjects, u.peerLoad, u.slowdown, u.failureRate = nil, 0, 1, 0
 	u.shedUntil, u.lastLoss = time.Time{}, time.Time{}
-	u.limit = rateLimit{}
+	u.resetRateLimit(time.Time{})
 }
 
 // MarkSuspect records that the upstream may have restarted. It counts as cold until it
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -215,7 +215,7 @@
 			return c
 		case u.Cold(now) && !u.AdmitCold(now, q.ColdRate(u)):
 			excluded.ColdLimited++
-		case u.RateLimited() && !u.AdmitRateLimited(now, q.rateShare(u)):
+		case u.RateLimited(now) && !u.AdmitRateLimited(now, q.rateShare(u)):
 			excluded.RateLimited++
 		default:
 			return c
@@ -256,7 +256,7 @@
 		if u == nil {
 			return
 		}
-		limited := u.RateLimited()
+		limited := u.RateLimited(now)
 		if !q.tried(u) {
 			c := r.evaluate(now, u, q.Object, leading, times)
 			c.Rank, c.Planned = rank, planned
