--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -37,7 +37,6 @@
 type Group struct {
 	upstreams []*Upstream
 	byRegion  map[string][]*Upstream
-	slots     map[string]int
 }
 
 // Upstreams returns the upstreams, sorted by ID. The slice must not be modified.
@@ -56,14 +55,6 @@
 	return g.byRegion[region]
 }
 
-// Slots returns the total number of slots in a region.
-func (g *Group) Slots(region string) int {
-	if g == nil {
-		return 0
-	}
-	return g.slots[region]
-}
-
 // UsableSlots returns the sum of the slots of the upstreams of a region that requests can
 // keep busy, each for serviceTime, within the rate limits of the upstreams.
 func (g *Group) UsableSlots(region string, serviceTime time.Duration, now time.Time) float64 {
@@ -238,7 +229,7 @@
 		}
 		g := groups[u.service]
 		if g == nil {
-			g = &Group{byRegion: make(map[string][]*Upstream), slots: make(map[string]int)}
+			g = &Group{byRegion: make(map[string][]*Upstream)}
 			groups[u.service] = g
 		}
 		if !u.draining && !r.evacuated[u.zone] {
@@ -256,11 +247,10 @@
 	r.groups.Store(&groups)
 }
 
-// index sorts the upstreams by ID, groups them by region and sums up their slots.
+// index sorts the upstreams by ID and groups them by region.
 func (g *Group) index() {
 	slices.SortFunc(g.upstreams, func(a, b *Upstream) int { return strings.Compare(a.id, b.id) })
 	for _, u := range g.upstreams {
 		g.byRegion[u.region] = append(g.byRegion[u.region], u)
-		g.slots[u.region] += u.slots
 	}
 }
