Keep restarts of hosts from renewing the retry budget

Found by reading: each process had its host's share of the fixed number of extra attempts at once, also when an earlier process had just used it. With 8 hosts and 4 requests/s each, restarts sent 136 extra attempts in a window of 10 s, restarts in series 144, of 120 allowed.

Change: a process has the share when one window has passed since its start; until then it may use the fraction of its own requests.

--- a/internal/process/budgeter/budgeter.go
+++ b/internal/process/budgeter/budgeter.go
@@ -3,7 +3,9 @@
 //
 // The limit applies to all hosts together over a sliding window: a fraction of the
 // requests plus a fixed number. Each host may use that fraction of its own requests and
-// an equal share of the fixed number, so that hosts need not communicate.
+// an equal share of the fixed number, so that hosts need not communicate. An earlier process
+// of the host may have used the share just before it ended, so a process has it only
+// when one window has passed.
 package budgeter
 
 import (
@@ -46,10 +48,10 @@
 	extraAttempts [windowBuckets + 1]float64
 }
 
-// New returns a Budgeter. Hosts returns the number of hosts that share the fixed number;
-// a value below 1 counts as 1.
-func New(l Limit, hosts func() int) *Budgeter {
-	return &Budgeter{limit: l, hosts: hosts, start: time.Now(), services: make(map[string]*service)}
+// New returns a Budgeter for a process that started at the given time. Hosts returns the
+// number of hosts that share the fixed number; a value below 1 counts as 1.
+func New(l Limit, hosts func() int, start time.Time) *Budgeter {
+	return &Budgeter{limit: l, hosts: hosts, start: start, services: make(map[string]*service)}
 }
 
 // SetLimit changes the limit except its window, whose length determines the buckets of
@@ -99,7 +101,10 @@
 		requests += s.requests[i]
 		extraAttempts += s.extraAttempts[i]
 	}
-	allowed := b.limit.Ratio*requests + b.limit.Fixed/float64(max(1, b.hosts()))
+	allowed := b.limit.Ratio * requests
+	if now.Sub(b.start) >= b.limit.Window {
+		allowed += b.limit.Fixed / float64(max(1, b.hosts()))
+	}
 	if extraAttempts+1 > usableFraction*allowed {
 		return false
 	}
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -174,7 +174,7 @@
 	c.registrar.OnLeave(c.upstreamLeaving)
 	c.surveyor = surveyor.New(s.Name, s.Region, now)
 	c.plan = apportioner.New(slices.Index(c.regions, s.Region), s.maxShiftPerSecond())
-	c.budget = budgeter.New(s.RetryBudget, c.fleetSize)
+	c.budget = budgeter.New(s.RetryBudget, c.fleetSize, now)
 	c.ranker = ranker.New(s.Region)
 	c.sender = sender.New(sender.Options{
 		Dial: newDialer(upstreamAckTimeout).DialContext, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout, Match: c.matchResponse,
--- a/internal/process/conductor/reload_internal_test.go
+++ b/internal/process/conductor/reload_internal_test.go
@@ -22,7 +22,7 @@
 		RetryBudget: budgeter.Limit{Fixed: 1000, Window: 10 * time.Second},
 	}
 	c := &Conductor{
-		budget: budgeter.New(s.RetryBudget, func() int { return 1 }), throttler: throttler.New("h", s.ColdLimit, now),
+		budget: budgeter.New(s.RetryBudget, func() int { return 1 }, now.Add(-time.Minute)), throttler: throttler.New("h", s.ColdLimit, now),
 		plan: apportioner.New(0, s.maxShiftPerSecond()),
 	}
 	c.throttler.SetRecorded(nil)
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -164,7 +164,7 @@
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: oneRegionPlanner{},
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
 		Upstreams: reg, Ranker: ranker.New("r"),
-		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }), Sender: s, Memory: g.memory, Watchdog: g.watchdog, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
+		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }, time.Now().Add(-time.Minute)), Sender: s, Memory: g.memory, Watchdog: g.watchdog, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
