Do not let an isolated host take shared limits for itself

TestFleetSizeOfIsolatedHost failed before and passes.

TestViewFollowsTheMembership asserts a fleet of 1 for a host that knows no other. Its host had never read the records, which is the state that counted wrongly; now it has read them, and all its assertions are as they were.

--- a/internal/process/conductor/view_internal_test.go
+++ b/internal/process/conductor/view_internal_test.go
@@ -16,6 +16,7 @@
 // against a copy of the membership for each request.
 func TestViewFollowsTheMembership(t *testing.T) {
 	c := &Conductor{throttler: throttler.New("self", throttler.Limit{}, time.Now().Add(-time.Hour))}
+	c.throttler.SetRecorded([]string{"self"})
 	c.gossiper = gossiper.New(&framer.Member{Name: "self", Address: "self"}, nil, nil)
 	c.gossiper.OnChange(c.memberChanged)
 	merge := func(name string, incarnation uint64, state detector.State) {
--- a/internal/process/throttler/throttler.go
+++ b/internal/process/throttler/throttler.go
@@ -127,11 +127,12 @@
 func (t *Throttler) FleetSize(known int, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	discovering := now.Sub(t.start) < discoveryTime
 	switch {
-	case now.Sub(t.start) >= discoveryTime:
-		return max(known, 1)
-	case !t.recordedRead:
+	case !t.recordedRead && (discovering || known <= 1):
 		return max(known, assumedHosts)
+	case !discovering:
+		return max(known, 1)
 	default:
 		return max(known, len(t.recorded), 1)
 	}
--- a/internal/process/throttler/throttler_test.go
+++ b/internal/process/throttler/throttler_test.go
@@ -78,6 +78,17 @@
 	assert.Equal(t, th.FleetSize(1, start.Add(time.Minute)), 1)
 }
 
+// Guards against a host that takes shared limits for itself because it was cut off from the
+// other hosts and from their records since its start.
+func TestFleetSizeOfIsolatedHost(t *testing.T) {
+	start := time.Now()
+	th := throttler.New("a", throttler.Limit{Factor: 1.5, Slack: 5}, start)
+	assert.Assert(t, th.FleetSize(1, start.Add(time.Minute)) >= 84)
+	assert.Equal(t, th.FleetSize(3, start.Add(time.Minute)), 3)
+	th.SetRecorded([]string{"a"})
+	assert.Equal(t, th.FleetSize(1, start.Add(time.Minute)), 1)
+}
+
 // Guards against a cached rank that outlives a change of the hosts: when the sender to a
 // cold upstream is gone, no host takes over its share, or two do.
 func TestRankFollowsTheHosts(t *testing.T) {
