--- a/internal/process/budgeter/budgeter_test.go
+++ b/internal/process/budgeter/budgeter_test.go
@@ -9,13 +9,35 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
 )
 
+// sendUntilRefused returns when a host sends extra attempts in 30 s, if every attempt of its
+// requests fails. rate is in requests per second, and the host restarts at the given times.
+func sendUntilRefused(limit budgeter.Limit, hosts, rate int, restarts []time.Duration) (sentAt []time.Duration) {
+	now := time.Now()
+	newBudgeter := func(at time.Duration) *budgeter.Budgeter {
+		return budgeter.New(limit, func() int { return hosts }, now.Add(at))
+	}
+	b := newBudgeter(0)
+	for i := range 30 * rate {
+		d := time.Duration(i) * time.Second / time.Duration(rate)
+		if len(restarts) > 0 && d >= restarts[0] {
+			b, restarts = newBudgeter(d), restarts[1:]
+		}
+		b.CountRequest("s", now.Add(d))
+		for range 3 {
+			if b.AllowExtraAttempt("s", now.Add(d)) {
+				sentAt = append(sentAt, d)
+			}
+		}
+	}
+	return sentAt
+}
+
 // Guards against extra attempts that multiply an overload: in any window, those of all
 // hosts together must not exceed the fraction of the requests plus the fixed number. A
 // process does not know what an earlier one of its host used, so restarts must not renew
 // the fixed number.
 func TestExtraAttemptsStayWithinFleetLimit(t *testing.T) {
 	limit := budgeter.Limit{Ratio: 0.2, Fixed: 56, Window: 10 * time.Second}
-	now := time.Now()
 	const hosts = 8
 	for name, c := range map[string]struct {
 		rate     int // requests per second and host
@@ -29,20 +51,7 @@
 		t.Run(name, func(t *testing.T) {
 			var sentAt []time.Duration
 			for range hosts {
-				b := budgeter.New(limit, func() int { return hosts }, now)
-				restarts := c.restarts
-				for i := range 30 * c.rate {
-					d := time.Duration(i) * time.Second / time.Duration(c.rate)
-					if len(restarts) > 0 && d >= restarts[0] {
-						b, restarts = budgeter.New(limit, func() int { return hosts }, now.Add(d)), restarts[1:]
-					}
-					b.CountRequest("s", now.Add(d))
-					for range 3 { // every attempt fails
-						if b.AllowExtraAttempt("s", now.Add(d)) {
-							sentAt = append(sentAt, d)
-						}
-					}
-				}
+				sentAt = append(sentAt, sendUntilRefused(limit, hosts, c.rate, c.restarts)...)
 			}
 			for start := time.Duration(0); start <= 20*time.Second; start += 250 * time.Millisecond {
 				n := 0
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -186,12 +186,13 @@
 }
 
 // rateShare returns the part of the rate limit of an upstream that this host may use.
-func (c *Conductor) rateShare(u *registrar.Upstream) registrar.Share {
+func (c *Conductor) rateShare(u *registrar.Upstream) registrar.RateShare {
 	v := c.currentView()
 	flow := 0.0
 	if shares := c.flowShares.Load(); shares != nil {
-		if byRegion := (*shares)[u.Service()]; byRegion != nil {
-			flow = byRegion[slices.Index(c.regions, u.Region())]
+		byRegion, region := (*shares)[u.Service()], slices.Index(c.regions, u.Region())
+		if byRegion != nil && region >= 0 {
+			flow = byRegion[region]
 		}
 	}
 	return c.throttler.RateShare(u.ID(), flow, len(v.live)+1, v.known+1, time.Now())
--- a/internal/process/registrar/ratelimit.go
+++ b/internal/process/registrar/ratelimit.go
@@ -66,8 +66,8 @@
 	l.perSecond, l.statedAt, l.without = perSecond, statedAt, 0
 }
 
-// Share is the part of the rate limit of an upstream that one host may use.
-type Share struct {
+// RateShare is the part of the rate limit of an upstream that one host may use.
+type RateShare struct {
 	Fraction float64 // of the limit
 	// Phase, from 0 to 1, is the position of the first request within the interval between
 	// two requests. Hosts with different phases do not send at the same time.
@@ -149,7 +149,7 @@
 
 // RateLimitWait returns how long a host with the given share has to wait until it may send
 // the upstream a request. It is 0 without a rate limit.
-func (u *Upstream) RateLimitWait(now time.Time, s Share) time.Duration {
+func (u *Upstream) RateLimitWait(now time.Time, s RateShare) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.hasRateLimit(now) {
@@ -161,7 +161,7 @@
 // AdmitRateLimited reports whether a host with the given share may send the upstream a
 // request at now, and counts the request if so. Requests are evenly spaced, so over any
 // span all hosts together send at most the sum of their rates and one request each.
-func (u *Upstream) AdmitRateLimited(now time.Time, s Share) bool {
+func (u *Upstream) AdmitRateLimited(now time.Time, s RateShare) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.hasRateLimit(now) {
@@ -176,7 +176,7 @@
 
 // wait returns the time until the next request of a host. The first call after the limit
 // was stated determines the time of the host's first request.
-func (l *rateLimit) wait(now time.Time, s Share) time.Duration {
+func (l *rateLimit) wait(now time.Time, s RateShare) time.Duration {
 	interval := requestInterval(s.Fraction * max(float64(l.perSecond), minRateLimit))
 	switch {
 	case l.without > 0:
--- a/internal/process/throttler/throttler.go
+++ b/internal/process/throttler/throttler.go
@@ -3,10 +3,11 @@
 // A limit that an upstream states in its responses is divided in proportion to the requests
 // that each host sends to the region of the upstream.
 //
-// The limit of a cold upstream is divided without communication. Only few hosts send to a cold upstream: the first ones in an order by hash that all
-// hosts compute alike. A host that has just started may not have discovered the others
-// yet, so it also counts those that are recorded in the store, and sends nothing to cold
-// upstreams before it has read them.
+// The limit of a cold upstream is divided without communication. Only few hosts send to a
+// cold upstream: the first ones in an order by hash that all hosts compute alike. A host
+// that has just started may not have discovered the others yet, so it also counts those
+// that are recorded in the store, and sends nothing to cold upstreams before it has read
+// them.
 package throttler
 
 import (
@@ -143,10 +144,10 @@
 // from other live hosts. live is the number of live hosts, and known that of all hosts in
 // the membership list. Hosts that do not respond may still send requests, so their part of
 // the limit stays unused.
-func (t *Throttler) RateShare(upstream string, flow float64, live, known int, now time.Time) registrar.Share {
+func (t *Throttler) RateShare(upstream string, flow float64, live, known int, now time.Time) registrar.RateShare {
 	fleet := float64(t.FleetSize(known, now))
 	fraction := max(min(flow, 1)*float64(live)/fleet, minFlowFactor/fleet)
-	return registrar.Share{
+	return registrar.RateShare{
 		Fraction: usableRateFraction * fraction,
 		Phase:    float64(hostScore(t.name, upstream)) / math.MaxUint64,
 	}
--- a/internal/request/ranker/fleet_test.go
+++ b/internal/request/ranker/fleet_test.go
@@ -226,7 +226,7 @@
 }
 
 // rateShare combines the parts as package conductor does.
-func (f *fleet) rateShare(h *fleetHost, u *registrar.Upstream) registrar.Share {
+func (f *fleet) rateShare(h *fleetHost, u *registrar.Upstream) registrar.RateShare {
 	live := 0
 	for _, o := range f.hosts {
 		if visible(h, o) {
@@ -272,7 +272,7 @@
 		Group: h.registrar.Group("s"), Route: "s", Regions: fleetRegions, Weights: f.weights(h, slices.Index(fleetRegions, h.region)), Object: object,
 		Remaining: 2 * time.Second, LatencyTarget: 400 * time.Millisecond,
 		ColdRate:         func(*registrar.Upstream) float64 { return 0 },
-		RateShare:        func(u *registrar.Upstream) registrar.Share { return f.rateShare(h, u) },
+		RateShare:        func(u *registrar.Upstream) registrar.RateShare { return f.rateShare(h, u) },
 		AllowCrossRegion: func(bool) bool { return false },
 	})
 	if c.Upstream == nil {
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -76,7 +76,7 @@
 	ColdRate func(u *registrar.Upstream) float64
 	// RateShare returns the part of the rate limit of an upstream that this host may use.
 	// Nil means the whole limit.
-	RateShare func(u *registrar.Upstream) registrar.Share
+	RateShare func(u *registrar.Upstream) registrar.RateShare
 	// AllowCrossRegion reports whether the request may leave its planned region, and
 	// counts it if so. Failing means that upstreams of that region fail. Nil allows all.
 	AllowCrossRegion func(failing bool) bool
@@ -371,9 +371,9 @@
 	return q.AllowCrossRegion == nil || q.AllowCrossRegion(failing)
 }
 
-func (q *Query) rateShare(u *registrar.Upstream) registrar.Share {
+func (q *Query) rateShare(u *registrar.Upstream) registrar.RateShare {
 	if q.RateShare == nil {
-		return registrar.Share{Fraction: 1}
+		return registrar.RateShare{Fraction: 1}
 	}
 	return q.RateShare(u)
 }
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -91,7 +91,7 @@
 	ColdRate func(u *registrar.Upstream, perSecond float64) float64
 	// RateShare returns the part of the rate limit of an upstream that this host may use.
 	// The default is the whole limit.
-	RateShare func(u *registrar.Upstream) registrar.Share
+	RateShare func(u *registrar.Upstream) registrar.RateShare
 	Upstreams *registrar.Registrar
 	Ranker    *ranker.Ranker
 	Budget    *budgeter.Budgeter
