Keep the rate limit of an upstream whose registration expires

Found by reading: registrations may expire while the store fails, and are back seconds after its return. A host then made a new entry for the upstream and had forgotten its rate limit, as all hosts did at the same moment, so that each sent at its full rate until the next response.

Change: the limit of a removed upstream is kept, for up to 1,024 of them, and applies again if the same process registers again. TestRateLimitFollowsResponses/ removed_and_registered_again failed before (no limit) and passes.

--- a/internal/process/registrar/ratelimit.go
+++ b/internal/process/registrar/ratelimit.go
@@ -111,6 +111,22 @@
 	return true
 }
 
+// inheritRateLimit copies the rate limit of the same upstream under a removed registration.
+func (u *Upstream) inheritRateLimit(old *Upstream) {
+	old.mu.Lock()
+	defer old.mu.Unlock()
+	u.copyRateLimit(old)
+}
+
+// copyRateLimit copies a rate limit that the same process stated. The caller must hold mu of
+// the other Upstream.
+func (u *Upstream) copyRateLimit(old *Upstream) {
+	if u.startUnixMilli == old.startUnixMilli {
+		u.limit = old.limit
+		u.rateLimited.Store(old.rateLimited.Load())
+	}
+}
+
 // resetRateLimit removes the rate limit. Statements up to endedAt no longer count. The
 // caller must hold mu.
 func (u *Upstream) resetRateLimit(endedAt time.Time) {
--- a/internal/process/registrar/ratelimit_test.go
+++ b/internal/process/registrar/ratelimit_test.go
@@ -118,6 +118,16 @@
 			again.StartUnixMilli, again.Address = 2, "y:80"
 			r.Put(again, at(2), false)
 		}, 0},
+		"removed and registered again": {func(r *registrar.Registrar, _ *registrar.Upstream) {
+			r.Remove("x", 2)
+			r.Put(entry("x", 3), at(2), false)
+		}, 6},
+		"removed and restarted": {func(r *registrar.Registrar, _ *registrar.Upstream) {
+			r.Remove("x", 2)
+			again := entry("x", 3)
+			again.StartUnixMilli = 2
+			r.Put(again, at(2), false)
+		}, 0},
 		"new address": {func(r *registrar.Registrar, _ *registrar.Upstream) {
 			moved := entry("x", 2)
 			moved.Address = "y:80"
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -76,6 +76,7 @@
 
 	mu            sync.Mutex
 	upstreams     map[string]*Upstream // by ID
+	removed       map[string]*Upstream // with a rate limit, by ID
 	evacuated     map[string]bool      // zones whose upstreams get no new requests
 	onLeave       func(u *Upstream, reason string)
 	openBatches   int             // batches that are not committed
@@ -87,7 +88,7 @@
 // New returns an empty Registrar. regions maps availability zones to regions.
 func New(regions map[string]string) *Registrar {
 	r := &Registrar{
-		regions: regions, upstreams: make(map[string]*Upstream),
+		regions: regions, upstreams: make(map[string]*Upstream), removed: make(map[string]*Upstream),
 		evacuated: make(map[string]bool), staleServices: make(map[string]bool),
 	}
 	r.groups.Store(new(map[string]*Group))
@@ -129,6 +130,9 @@
 		u = newUpstream(reg, r.regions[reg.Zone])
 		if old != nil {
 			u.inheritState(old)
+		} else if removed := r.removed[reg.ID]; removed != nil {
+			u.inheritRateLimit(removed)
+			delete(r.removed, reg.ID)
 		}
 		if old != nil {
 			r.staleServices[old.service] = true
@@ -159,11 +163,27 @@
 		return
 	}
 	delete(r.upstreams, id)
+	r.keepRateLimit(u)
 	r.staleServices[u.service] = true
 	r.publish()
 	r.notifyLeaving(u, "registration removed")
 }
 
+// maxRemoved bounds the number of removed upstreams whose rate limit is kept.
+const maxRemoved = 1024
+
+// keepRateLimit keeps the rate limit of a removed upstream. A registration may expire while
+// the store fails, and is written again if the upstream still runs. The caller must hold mu.
+func (r *Registrar) keepRateLimit(u *Upstream) {
+	if !u.rateLimited.Load() {
+		return
+	}
+	if len(r.removed) >= maxRemoved {
+		clear(r.removed)
+	}
+	r.removed[u.id] = u
+}
+
 // SetEvacuated sets whether an availability zone is evacuated. The upstreams of an
 // evacuated zone get no new requests. When the evacuation ends, they count as cold until
 // they register again.
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -87,10 +87,7 @@
 	defer old.mu.Unlock()
 	u.rowVersion, u.draining = old.rowVersion, old.draining
 	u.coldUntil, u.suspectSince, u.nextColdRequest = old.coldUntil, old.suspectSince, old.nextColdRequest
-	if u.startUnixMilli == old.startUnixMilli {
-		u.limit = old.limit
-		u.rateLimited.Store(old.rateLimited.Load())
-	}
+	u.copyRateLimit(old)
 }
 
 // ID returns the key of its registration.
