Test that a stated rate limit moves requests to other upstreams

Requests that a host's part of the limit does not allow go to the next upstream, or are refused at once with a Retry-After; a refusal by the upstream states a limit too, and a malformed one changes nothing.

--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
@@ -52,7 +55,13 @@
 	if h.Get("Break") != "" {
 		panic("test: response that triggers a panic")
 	}
-	return steerer.ResponseMetadata{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	m := steerer.ResponseMetadata{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		m.RateLimit, m.HasRateLimit = registrar.RateLimit(limit), true
+	} else {
+		m.InvalidRateLimit = h.Get("Limit")
+	}
+	return m
 }
 func (dialect) SetRequestID(h http.Header, id string) { h.Set("Id", id) }
 
@@ -115,6 +124,31 @@
 	}
 }
 
+// logLines collects log lines.
+type logLines struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *logLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(line))
+	return len(line), nil
+}
+
+// count returns the number of lines of an event.
+func (l *logLines) count(e logger.Event) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.lines {
+		if strings.Contains(line, fmt.Sprintf(`"event":%d,`, e)) {
+			n++
+		}
+	}
+	return n
+}
+
 // testHost is a host with two upstreams. All requests refer to the same object, so the
 // first attempt of each goes to the same upstream, first.
 type testHost struct {
@@ -125,6 +159,7 @@
 	steer    *steerer.Steerer
 	memory   *reserver.Reserver
 	watchdog *watchdog
+	log      *logLines
 	remove   func(id string)
 	dial     func() net.Conn
 }
@@ -136,7 +171,7 @@
 
 func newTestHost(t *testing.T, setHandlers func(first, second *upstream)) *testHost {
 	t.Helper()
-	g := &testHost{t: t, watchdog: new(watchdog), memory: reserver.New(bodyMemoryBytes)}
+	g := &testHost{t: t, watchdog: new(watchdog), log: new(logLines), memory: reserver.New(bodyMemoryBytes)}
 	reg := registrar.New(map[string]string{"z": "r"})
 	var ups []*upstream
 	for i := range 2 {
@@ -166,6 +201,7 @@
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
 		Upstreams: reg, Ranker: ranker.New("r"),
 		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }, time.Now().Add(-time.Minute)), Sender: s, Memory: g.memory, Watchdog: g.watchdog, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
+		Log: logger.New(g.log, zerolog.InfoLevel, "h"),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
