--- a/internal/process/registrar/ratelimit.go
+++ b/internal/process/registrar/ratelimit.go
@@ -134,7 +134,8 @@
 	u.rateLimited.Store(false)
 }
 
-// hasRateLimit reports whether the upstream has a rate limit. The caller must hold mu.
+// hasRateLimit removes a rate limit that has expired, and reports whether the upstream has
+// one. The caller must hold mu.
 func (u *Upstream) hasRateLimit(now time.Time) bool {
 	l := &u.limit
 	if !l.statedAt.IsZero() && !l.own && now.Sub(l.statedAt) > learnedRateLimitTTL {
@@ -248,6 +249,7 @@
 	return slices.Concat(upstreams[first:], upstreams[:first])[:n]
 }
 
+// hasRateLimitNews reports whether other hosts may not know the rate limit yet.
 func (u *Upstream) hasRateLimitNews() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -280,6 +282,8 @@
 	return began
 }
 
+// learnRateLimit applies a rate limit that another host knows, if it was stated after what
+// this host knows. It reports whether this host knew of no limit before.
 func (u *Upstream) learnRateLimit(l StatedRateLimit, now time.Time) (began bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
