Log when a rate limit known from other hosts expires

A host logged when it learned such a limit, and not when it dropped it 20 s after it was last stated, so its log did not tell what it believed.

--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -279,6 +279,9 @@
 			c.movePlans(now, service)
 		}
 		c.updateFlowShares()
+		for _, u := range c.registrar.ExpireRateLimits(now) {
+			c.log.Event(logger.RateLimitChanged).Str("upstream", u.ID()).Str("service", u.Service()).Bool("limited", false).Send()
+		}
 		c.ready()
 		sleeper.Sleep(ctx, tickInterval)
 	}
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -75,7 +75,7 @@
 	UpstreamLeaving:        {zerolog.InfoLevel, "upstream leaving", "The upstream gets no new requests; the field sign gives the reason."},
 	ConnectionUnresponsive: {zerolog.WarnLevel, "connection unresponsive", "Connections to the address carried no data while a new one works; they are closed."},
 	UpstreamUnreachable:    {zerolog.WarnLevel, "upstream unreachable", "The address refused a connection, or did not respond to a probe on a new one."},
-	RateLimitChanged:       {zerolog.InfoLevel, "rate limit changed", "The upstream began to state a rate limit in its responses, in requests per second of all hosts together, or stopped if limited is false. With the field age, another host got that response; such a limit ends without a line when it is not stated anew for 20 s."},
+	RateLimitChanged:       {zerolog.InfoLevel, "rate limit changed", "The upstream began to state a rate limit in its responses, in requests per second of all hosts together, or stopped if limited is false. With the field age, another host got that response; such a limit also ends when it is not stated anew for 20 s."},
 	RateLimitInvalid:       {zerolog.WarnLevel, "rate limit invalid", "A response states a rate limit that can't be read; the one that is known stays in effect."},
 	RequestFailed:          {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run; attempts, where given, lists the attempts made."},
 	RequestServed:          {zerolog.InfoLevel, "request served", "A request got an upstream's response; attempts lists where it was sent, what was expected there, and the result."},
--- a/internal/process/registrar/ratelimit.go
+++ b/internal/process/registrar/ratelimit.go
@@ -134,14 +134,38 @@
 	u.rateLimited.Store(false)
 }
 
-// hasRateLimit removes a rate limit that has expired, and reports whether the upstream has
-// one. The caller must hold mu.
+// hasRateLimit reports whether the upstream has a rate limit. The caller must hold mu.
 func (u *Upstream) hasRateLimit(now time.Time) bool {
-	l := &u.limit
-	if !l.statedAt.IsZero() && !l.own && now.Sub(l.statedAt) > learnedRateLimitTTL {
-		u.resetRateLimit(l.statedAt)
+	return !u.limit.statedAt.IsZero() && !u.limit.expired(now)
+}
+
+// expired reports whether a rate limit that this host only knows from other hosts has
+// expired.
+func (l *rateLimit) expired(now time.Time) bool {
+	return !l.own && now.Sub(l.statedAt) > learnedRateLimitTTL
+}
+
+// expireRateLimit removes the rate limit if it has expired, and reports whether it did.
+func (u *Upstream) expireRateLimit(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limit.statedAt.IsZero() || !u.limit.expired(now) {
+		return false
+	}
+	u.resetRateLimit(u.limit.statedAt)
+	return true
+}
+
+// ExpireRateLimits removes rate limits that have expired, and returns their upstreams.
+func (r *Registrar) ExpireRateLimits(now time.Time) (expired []*Upstream) {
+	for _, g := range *r.groups.Load() {
+		for _, u := range g.upstreams {
+			if u.rateLimited.Load() && u.expireRateLimit(now) {
+				expired = append(expired, u)
+			}
+		}
 	}
-	return !l.statedAt.IsZero()
+	return expired
 }
 
 // RateLimited reports whether the upstream has a rate limit.
--- a/internal/process/registrar/ratelimit_test.go
+++ b/internal/process/registrar/ratelimit_test.go
@@ -52,6 +52,8 @@
 			assert.Equal(t, u.RateLimit(at(c.now)), c.want)
 			assert.Equal(t, u.RateLimited(at(c.now)), c.want > 0)
 			assert.Equal(t, len(r.RateLimits(at(c.now), 1, 1)) == 1, c.want > 0)
+			assert.Equal(t, len(r.ExpireRateLimits(at(c.now))) == 1, name == "expired")
+			assert.Equal(t, len(r.ExpireRateLimits(at(c.now))), 0)
 		})
 	}
 }
