Log what a stopping host cuts off, and why a caller counts as gone

Requests in flight when the process ends left no log line, event 105 said only how many there were, the read error that makes a caller count as gone was not logged, and neither was the error that ends a process.

Event 105 now lists up to 64 requests with their age and how many were in flight on the connection, event 104 has the error that ended the process and the number of requests that were read and did not run, events 601 and 603 have the read error in 'cause'. No decision changes.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -113,6 +113,7 @@
 	options            Options
 	keepAlivesDisabled atomic.Bool
 	activeRequests     atomic.Int64  // requests read whose response is not complete
+	droppedRequests    atomic.Int64  // requests read that did not run
 	acceptDone         chan struct{} // closed when Serve accepts no further connection
 	acceptDoneOnce     sync.Once
 
@@ -173,6 +174,31 @@
 // complete.
 func (a *Acceptor) ActiveRequests() int { return int(a.activeRequests.Load()) }
 
+// Unfinished describes a request that was read and whose response is not complete.
+type Unfinished struct {
+	Request   *http.Request
+	Arrived   time.Time // when its first byte was read
+	Pipelined int       // requests in flight on its connection, including this one
+}
+
+// UnfinishedRequests returns up to limit requests whose response is not complete.
+func (a *Acceptor) UnfinishedRequests(limit int) []Unfinished {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []Unfinished
+	for c := range a.conns {
+		out = append(out, c.unfinished()...)
+		if len(out) >= limit {
+			return out[:limit]
+		}
+	}
+	return out
+}
+
+// DroppedRequests returns the number of requests that were read, at least in part, and did
+// not run because their connection was closing.
+func (a *Acceptor) DroppedRequests() int64 { return a.droppedRequests.Load() }
+
 // DisableKeepAlives makes every connection close after the response to the last request
 // that was read on it. Idle connections stay open until their next request or Shutdown.
 func (a *Acceptor) DisableKeepAlives() { a.keepAlivesDisabled.Store(true) }
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -31,7 +32,10 @@
 	writeBufferBytes = 4 << 10
 )
 
-var errCallerDisconnected = errors.New("caller disconnected")
+var (
+	errCallerDisconnected = errors.New("caller disconnected")
+	errResponseComplete   = errors.New("response is complete")
+)
 
 // conn is one connection of a caller. One goroutine reads the requests, and each request
 // is handled in a goroutine of its own.
@@ -43,8 +47,11 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
+	readErr error // why the connection ended while a request was awaited or read
+
 	mu              sync.Mutex
-	inFlight        int  // requests in flight
+	inFlight        int // requests in flight
+	calls           []*Call
 	reading         bool // a request is being read
 	closing         bool // no further request is read
 	readBufferBytes int
@@ -90,7 +97,8 @@
 		}
 		allConcurrent = concurrent
 		slots <- struct{}{}
-		if !c.startRequest() {
+		if !c.startRequest(call) {
+			c.acceptor.droppedRequests.Add(1)
 			c.releaseBody(call)
 			break // a preceding response closes the connection: the request is dropped
 		}
@@ -120,10 +128,10 @@
 	closing := c.closing
 	c.mu.Unlock()
 	if !closing {
-		c.cancel(errCallerDisconnected)
+		c.cancel(cmp.Or(c.readErr, errCallerDisconnected))
 	}
 	wg.Wait()
-	c.cancel(errCallerDisconnected)
+	c.cancel(errResponseComplete)
 	if closing {
 		c.linger()
 	}
@@ -132,7 +140,7 @@
 
 // startRequest counts a request as in flight. It reports false if the connection is
 // closing, in which case the request must not run.
-func (c *conn) startRequest() bool {
+func (c *conn) startRequest(call *Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
@@ -140,10 +148,24 @@
 		return false
 	}
 	c.inFlight++
+	if call != nil {
+		c.calls = append(c.calls, call)
+	}
 	c.acceptor.activeRequests.Add(1)
 	return true
 }
 
+// unfinished describes the requests in flight.
+func (c *conn) unfinished() []Unfinished {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]Unfinished, 0, len(c.calls))
+	for _, call := range c.calls {
+		out = append(out, Unfinished{Request: call.Request, Arrived: call.Arrived, Pipelined: c.inFlight})
+	}
+	return out
+}
+
 func (c *conn) run(call *Call, response *ResponseWriter, refusal int) {
 	defer c.acceptor.activeRequests.Add(-1)
 	defer c.releaseBody(call)
@@ -175,19 +197,22 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.stopReading()
 		}
+		c.readErr = err
 		return nil, 0
 	}
 	arrived := time.Now()
 	c.mu.Lock()
 	if c.closing {
 		c.mu.Unlock()
+		c.acceptor.droppedRequests.Add(1)
 		return nil, 0
 	}
 	c.reading = true
 	c.mu.Unlock()
 	_ = c.raw.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
-	head, status := peekHeader(c.br, min(limits.HeaderBytes, c.readBufferBytes))
-	if status != 0 || head == nil {
+	head, status, err := peekHeader(c.br, min(limits.HeaderBytes, c.readBufferBytes))
+	if status != 0 || err != nil {
+		c.readErr = err
 		return nil, status
 	}
 	if status := validateHeader(head); status != 0 {
@@ -255,6 +280,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, http.StatusRequestTimeout
 	case errors.Is(err, io.ErrUnexpectedEOF):
+		c.readErr = err
 		return nil, 0
 	case err != nil:
 		return nil, http.StatusBadRequest
--- a/internal/connection/acceptor/head.go
+++ b/internal/connection/acceptor/head.go
@@ -8,17 +8,16 @@
 )
 
 // peekHeader returns the header of the next request, up to and including the empty line,
-// without consuming it. A header longer than maxBytes gives status 431. A nil header
-// with status 0 means that the header can't be read, for example because the caller
-// disconnected.
-func peekHeader(br *bufio.Reader, maxBytes int) ([]byte, int) {
+// without consuming it. A header longer than maxBytes gives status 431. An error means
+// that the header can't be read, for example because the caller disconnected.
+func peekHeader(br *bufio.Reader, maxBytes int) ([]byte, int, error) {
 	need, scanned := 1, 0
 	for {
 		if need > maxBytes {
-			return nil, http.StatusRequestHeaderFieldsTooLarge
+			return nil, http.StatusRequestHeaderFieldsTooLarge, nil
 		}
 		if _, err := br.Peek(need); err != nil {
-			return nil, 0
+			return nil, 0, err
 		}
 		buf, _ := br.Peek(min(br.Buffered(), maxBytes))
 		if scanned == 0 {
@@ -33,7 +32,7 @@
 			}
 		}
 		if i := bytes.Index(buf[max(0, scanned-3):], []byte("\r\n\r\n")); i >= 0 {
-			return buf[:max(0, scanned-3)+i+4], 0
+			return buf[:max(0, scanned-3)+i+4], 0, nil
 		}
 		scanned = len(buf)
 		need = scanned + 1
--- a/internal/connection/acceptor/response.go
+++ b/internal/connection/acceptor/response.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -188,6 +189,7 @@
 	}
 	c.mu.Lock()
 	c.inFlight--
+	c.calls = slices.DeleteFunc(c.calls, func(call *Call) bool { return call == w.call })
 	c.lastActive = time.Now()
 	interruptRead := w.aborted || w.closesConn || (c.closing && c.inFlight == 0)
 	if w.aborted || w.closesConn {
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
@@ -253,7 +254,7 @@
 	})
 	err = g.Wait()
 	c.sender.Close()
-	c.log.Event(logger.HostStopped).Send()
+	c.log.Event(logger.HostStopped).Int64("dropped", c.acceptor.DroppedRequests()).Err(err).Send()
 	return err
 }
 
@@ -365,10 +366,20 @@
 	defer cancel()
 	c.acceptor.Shutdown(shutdownCtx, callers)
 	if n := c.acceptor.ActiveRequests(); n > 0 {
-		c.log.Event(logger.RequestsAborted).Int("count", n).Send()
+		c.logAborted(n)
 	}
 	c.meter.ObserveDrain(time.Since(begun))
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	defer cancelLeave()
 	c.gossiper.Leave(leaveCtx)
 }
+
+// logAborted logs that the process ends with count requests in flight.
+func (c *Conductor) logAborted(count int) {
+	requests := zerolog.Arr()
+	for _, u := range c.acceptor.UnfinishedRequests(maxLoggedRequests) {
+		requests.Dict(zerolog.Dict().Str("request", c.platform.RequestID(u.Request.Header)).
+			Dur("age", time.Since(u.Arrived)).Int("pipelined", u.Pipelined))
+	}
+	c.log.Event(logger.RequestsAborted).Int("count", count).Array("requests", requests).Send()
+}
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -90,6 +90,10 @@
 	// membership and ending the process; the latter takes about 0.1 s on a slow host.
 	stopExitMargin = leaveTimeout + 200*time.Millisecond
 
+	// maxLoggedRequests bounds the requests that are listed when a process ends with
+	// requests in flight.
+	maxLoggedRequests = 64
+
 	// maxSpreadRTTFraction bounds the RTT to the farthest region, as a fraction of the
 	// latency target of a service, up to which its objects are spread over all regions.
 	maxSpreadRTTFraction = 0.2
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -363,6 +363,9 @@
 	}
 	if err != nil {
 		e := x.noUpstream.Excluded
+		if x.ctx.Err() != nil {
+			entry.AnErr("cause", context.Cause(x.ctx))
+		}
 		entry.Str("kind", kind.String()).Err(err).Dur("room", x.noUpstream.UntilCapacity).
 			Dur("left", x.deadline.Sub(x.call.Arrived)).Dur("soonest", x.noUpstream.EarliestResponse).Dict("excluded", zerolog.Dict().
 			Int("queue", e.QueueTooLong).Int("late", e.PastDeadline).Int("unknown", e.NoWarmUpCapacity).Int("cold", e.ColdLimited).Int("limited", e.RateLimited).Int("far", e.CrossRegionLimited))
