Close pipelined connections when a host stops

Callers saw: a host that was stopped as planned cut off requests that upstreams were running, two for each connection (LOST).

Cause: a response closes its connection only if no other request is in flight on it or being read. A caller that always has another request under way never met that moment. It went on until the end of the grace period, when the process exited.

A stopping host now reads no further request on a connection after the first one that it reads since the signal, except those that arrived together with it. The last response then always finds no other request. Meanwhile the connection is read and discarded, so that a caller that leaves is noticed as before. What was sent behind the closing response was not read, and callers send it again.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -52,7 +52,7 @@
 	mu              sync.Mutex
 	inFlight        int // requests in flight
 	calls           []*Call
-	reading         bool // a request is being read
+	reading         bool // a request is being read or is in the buffer
 	closing         bool // no further request is read
 	readBufferBytes int
 	lastActive      time.Time // when the connection was accepted or its last response completed
@@ -127,10 +127,12 @@
 	c.mu.Lock()
 	closing := c.closing
 	c.mu.Unlock()
-	if !closing {
+	if closing {
+		c.discardUntilDone(wg)
+	} else {
 		c.cancel(cmp.Or(c.readErr, errCallerDisconnected))
+		wg.Wait()
 	}
-	wg.Wait()
 	c.cancel(errResponseComplete)
 	if closing {
 		c.linger()
@@ -138,15 +140,36 @@
 	_ = c.raw.Close()
 }
 
-// startRequest counts a request as in flight. It reports false if the connection is
-// closing, in which case the request must not run.
+// discardUntilDone waits for the requests in flight, discards what the caller still sends,
+// and cancels the requests if the caller disconnects.
+func (c *conn) discardUntilDone(wg *sync.WaitGroup) {
+	_ = c.raw.SetReadDeadline(time.Time{})
+	discarded := make(chan struct{})
+	go func() {
+		defer close(discarded)
+		if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.cancel(cmp.Or(err, errCallerDisconnected))
+		}
+	}()
+	wg.Wait()
+	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	<-discarded
+}
+
+// startRequest counts a request as in flight and decides whether it is the last one that is
+// read. It reports false if the connection is closing, in which case the request must not
+// run.
 func (c *conn) startRequest(call *Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading = call != nil && call.Request.Body == nil && c.requestBuffered()
 	if c.closing {
 		return false
 	}
+	// While keep-alives are disabled a request is the last one of its connection, unless
+	// another one has already arrived. Otherwise a caller that always has another request
+	// in flight would never get a response that closes the connection.
+	c.closing = c.acceptor.keepAlivesDisabled.Load() && !c.reading
 	c.inFlight++
 	if call != nil {
 		c.calls = append(c.calls, call)
@@ -155,6 +178,13 @@
 	return true
 }
 
+// requestBuffered reports whether the buffer contains the complete header of the next
+// request.
+func (c *conn) requestBuffered() bool {
+	buf, _ := c.br.Peek(c.br.Buffered())
+	return bytes.Contains(buf, []byte("\r\n\r\n"))
+}
+
 // unfinished describes the requests in flight.
 func (c *conn) unfinished() []Unfinished {
 	c.mu.Lock()
