Complete requests before a header that times out

Cause: any read error counted as a disconnect of the caller, and that cancels the requests of the connection.

A header timeout now gets status 408, after the responses to the earlier requests. The request has not run.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -241,6 +241,9 @@
 	c.mu.Unlock()
 	_ = c.raw.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	head, status, err := peekHeader(c.br, min(limits.HeaderBytes, c.readBufferBytes))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, http.StatusRequestTimeout
+	}
 	if status != 0 || err != nil {
 		c.readErr = err
 		return nil, status
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -3,9 +3,14 @@
 import (
 	"bufio"
 	"io"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 )
 
 // Guards against a connection that stays open after DisableKeepAlives because its caller
@@ -61,3 +66,35 @@
 	assert.NilError(t, c.Close())
 	<-h.disconnected
 }
+
+// Guards against a header that stays incomplete canceling the requests before it on its
+// connection.
+func TestHeaderTimeoutCompletesEarlierRequests(t *testing.T) {
+	h := newHandler()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	a := acceptor.New(acceptor.Options{
+		Handler: h, Limits: func() acceptor.Limits { return acceptor.Limits{HeaderTimeout: time.Millisecond} },
+		Concurrent: func(*http.Request) bool { return true },
+	})
+	go func() { _ = a.Serve(l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	send(t, c, "GET /slow/1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP")
+	<-h.received
+	select {
+	case path := <-h.disconnected:
+		t.Fatalf("request %s was canceled", path)
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(h.release)
+	br := bufio.NewReader(c)
+	r, body := readResponse(t, br)
+	assert.Equal(t, body, "/slow/1 ")
+	assert.Assert(t, !r.Close)
+	r, _ = readResponse(t, br)
+	assert.Equal(t, r.StatusCode, http.StatusRequestTimeout)
+	assert.Assert(t, r.Close)
+}
