Empty the accept queue before a stopping host closes its listener

Callers saw: connections that waited in the accept queue of a busy host were reset when it stopped, with their requests.

Cause: the queue was accepted from for a fixed 50 ms. A process that is short of processor time does not get through it.

The listener now closes when poll says that the queue is empty, after 1 s at the latest.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 )
 
@@ -54,6 +55,10 @@
 	// acceptDrainTime is how long Shutdown goes on accepting connections, in order to
 	// empty the accept queue of the listener.
 	acceptDrainTime = 50 * time.Millisecond
+	// maxAcceptDrainTime bounds how long Shutdown goes on accepting connections if the accept
+	// queue does not become empty. A process that is short of processor time needs longer
+	// than acceptDrainTime.
+	maxAcceptDrainTime = time.Second
 	// idlePollInterval is how often Shutdown checks for connections that have become idle.
 	idlePollInterval = 20 * time.Millisecond
 	// minIdleBeforeClose is how long a connection must have been without a request before
@@ -114,6 +119,7 @@
 	keepAlivesDisabled atomic.Bool
 	activeRequests     atomic.Int64  // requests read whose response is not complete
 	droppedRequests    atomic.Int64  // requests read that did not run
+	acceptEnd          atomic.Int64  // time from which no connection is accepted, in Unix nanoseconds
 	acceptDone         chan struct{} // closed when Serve accepts no further connection
 	acceptDoneOnce     sync.Once
 
@@ -145,10 +151,15 @@
 	defer a.acceptDoneOnce.Do(func() { close(a.acceptDone) })
 	for {
 		raw, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if !a.extendAccept(l) {
+				return nil
+			}
+			continue
+		case err != nil:
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
@@ -164,6 +175,14 @@
 	}
 }
 
+// extendAccept extends the deadline of Accept during a shutdown. It reports false if the
+// accept queue is empty or the time for that is over.
+func (a *Acceptor) extendAccept(l net.Listener) bool {
+	now := time.Now()
+	d, ok := l.(Listener)
+	return ok && now.UnixNano() < a.acceptEnd.Load() && peeker.Readable(l) && d.SetDeadline(now.Add(acceptDrainTime)) == nil
+}
+
 func (a *Acceptor) remove(c *conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -216,8 +235,10 @@
 // connections are closed or ctx is done. Serve returns during the call.
 func (a *Acceptor) Shutdown(ctx context.Context, l Listener) {
 	a.DisableKeepAlives()
+	now := time.Now()
+	a.acceptEnd.Store(now.Add(maxAcceptDrainTime).UnixNano())
 	// SetDeadline fails only if the listener is already closed.
-	_ = l.SetDeadline(time.Now().Add(acceptDrainTime))
+	_ = l.SetDeadline(now.Add(acceptDrainTime))
 	select {
 	case <-a.acceptDone:
 	case <-ctx.Done():
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -67,6 +67,43 @@
 	<-h.disconnected
 }
 
+// slowListener takes a while to accept a connection.
+type slowListener struct{ *net.TCPListener }
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(5 * time.Millisecond)
+	return l.TCPListener.Accept()
+}
+
+// Guards against a shutdown that resets connections in the accept queue because the process
+// is too slow to accept them at once.
+func TestShutdownEmptiesTheAcceptQueue(t *testing.T) {
+	h := newHandler()
+	h.received = make(chan string, 20)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a := acceptor.New(acceptor.Options{Handler: h})
+	conns := make([]net.Conn, cap(h.received))
+	for i := range conns {
+		conns[i], err = net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer conns[i].Close()
+		send(t, conns[i], "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	}
+	finished := make(chan struct{})
+	go func() {
+		a.Shutdown(t.Context(), l.(*net.TCPListener))
+		close(finished)
+	}()
+	go func() { _ = a.Serve(slowListener{l.(*net.TCPListener)}) }()
+	for _, c := range conns {
+		r, _ := readResponse(t, bufio.NewReader(c))
+		assert.Equal(t, r.StatusCode, http.StatusOK)
+	}
+	<-finished
+}
+
 // Guards against a header that stays incomplete canceling the requests before it on its
 // connection.
 func TestHeaderTimeoutCompletesEarlierRequests(t *testing.T) {
--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -1,9 +1,11 @@
-// Package peeker examines connections without consuming data from them.
+// Package peeker examines sockets without consuming data from them.
 package peeker
 
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Idle reports whether the connection is open and has no unread data. It returns true for
@@ -27,3 +29,22 @@
 	})
 	return err == nil && idle
 }
+
+// Readable reports whether a read of the socket, or Accept if it is a listener, would return
+// at once. It returns false for a value without a file descriptor and on any error.
+func Readable(socket any) bool {
+	sc, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	readable := false
+	err = raw.Control(func(fd uintptr) {
+		n, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		readable = pollErr == nil && n > 0
+	})
+	return err == nil && readable
+}
--- a/internal/connection/peeker/peeker_test.go
+++ b/internal/connection/peeker/peeker_test.go
@@ -41,3 +41,23 @@
 	assert.NilError(t, client.Close())
 	assert.Assert(t, !peeker.Idle(client))
 }
+
+// Guards against a listener with a waiting connection that counts as not readable, and the
+// reverse.
+func TestReadableListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.Assert(t, !peeker.Readable(l))
+	client, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer client.Close()
+	for !peeker.Readable(l) {
+		time.Sleep(time.Millisecond)
+	}
+	server, err := l.Accept()
+	assert.NilError(t, err)
+	defer server.Close()
+	assert.Assert(t, !peeker.Readable(l))
+	assert.NilError(t, l.Close())
+	assert.Assert(t, !peeker.Readable(l))
+}
