Let only the reader of a connection close it as idle

The window is small, and as long as a process waits for the processor.

Cause: a shutdown looked at the socket and closed it, while the reader had taken the bytes of a request from it and had not counted the request yet. At the idle timeout a passed deadline won against bytes in the socket, for example of a request that arrived while the process was paused.

A shutdown now only wakes the reader. The reader closes the connection if no bytes wait in the socket, and serves the request otherwise.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -67,14 +67,13 @@
 	return c
 }
 
-// closeIdle closes the connection if it has been idle for minIdleBeforeClose. Unread bytes in
-// the socket are a request that has yet to be read, so the connection is not idle.
+// closeIdle makes the reader close the connection if it has been idle for
+// minIdleBeforeClose. Only the reader knows whether it has just read a request.
 func (c *conn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inFlight == 0 && !c.reading && now.Sub(c.lastActive) >= minIdleBeforeClose && peeker.Idle(c.raw) {
-		c.closing = true
-		_ = c.raw.Close()
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
@@ -124,9 +123,7 @@
 // finish waits for the requests in flight and closes a connection from which no further
 // request is read. If the caller disconnected, it cancels these requests first.
 func (c *conn) finish(wg *sync.WaitGroup) {
-	c.mu.Lock()
-	closing := c.closing
-	c.mu.Unlock()
+	closing := c.isClosing()
 	if closing {
 		c.discardUntilDone(wg)
 	} else {
@@ -223,10 +220,7 @@
 	if !c.awaitRequest(limits.IdleTimeout) {
 		return nil, 0
 	}
-	if _, err := c.br.Peek(1); err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.stopReading()
-		}
+	if err := c.awaitFirstByte(); err != nil {
 		c.readErr = err
 		return nil, 0
 	}
@@ -272,11 +266,24 @@
 	return !c.closing
 }
 
-// stopReading marks a connection that reached its idle timeout as closing.
-func (c *conn) stopReading() {
+// awaitFirstByte waits for the first byte of the next request. It returns an error if the
+// caller disconnects, a response closes the connection or the read deadline passes. If bytes
+// are in the socket at the deadline, it waits for them without one.
+func (c *conn) awaitFirstByte() error {
+	for {
+		_, err := c.br.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isClosing() || peeker.Idle(c.raw) {
+			return err
+		}
+		_ = c.raw.SetReadDeadline(time.Time{})
+	}
+}
+
+// isClosing reports whether no further request is read.
+func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
+	return c.closing
 }
 
 // readBody buffers a short body and sets up a long one to be streamed by the handler. A
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -67,6 +68,101 @@
 	<-h.disconnected
 }
 
+// hookedListener accepts connections whose reads go through onRead, which gets the number
+// of the read and a function that performs it.
+type hookedListener struct {
+	*net.TCPListener
+	onRead func(i int, read func() (int, error)) (int, error)
+}
+
+type hookedConn struct {
+	*net.TCPConn
+	l     *hookedListener
+	reads int
+}
+
+// Accept implements net.Listener.
+func (l *hookedListener) Accept() (net.Conn, error) {
+	raw, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &hookedConn{TCPConn: raw, l: l}, nil
+}
+
+// Read implements net.Conn.
+func (c *hookedConn) Read(p []byte) (int, error) {
+	c.reads++
+	return c.l.onRead(c.reads, func() (int, error) { return c.TCPConn.Read(p) })
+}
+
+// startHooked starts an acceptor and returns it with its listener and a connection.
+func startHooked(t *testing.T, onRead func(i int, read func() (int, error)) (int, error)) (*acceptor.Acceptor, acceptor.Listener, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	hooked := &hookedListener{TCPListener: l.(*net.TCPListener), onRead: onRead}
+	a := acceptor.New(acceptor.Options{Handler: newHandler()})
+	go func() { _ = a.Serve(hooked) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return a, hooked, c
+}
+
+// Guards against a shutdown that closes a connection as idle while a request has been read
+// from its socket and is not counted yet.
+func TestShutdownServesRequestThatHasJustBeenRead(t *testing.T) {
+	consumed, release := make(chan struct{}), make(chan struct{})
+	a, l, c := startHooked(t, func(i int, read func() (int, error)) (int, error) {
+		n, err := read()
+		if i == 2 {
+			close(consumed)
+			<-release
+		}
+		return n, err
+	})
+	br := bufio.NewReader(c)
+	send(t, c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	readResponse(t, br)
+	send(t, c, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-consumed
+	finished := make(chan struct{})
+	go func() {
+		a.Shutdown(t.Context(), l)
+		close(finished)
+	}()
+	time.Sleep(2 * acceptor.ShutdownAcceptWindow)
+	close(release)
+	r, body := readResponse(t, br)
+	assert.Equal(t, body, "/2 ")
+	assert.Assert(t, r.Close)
+	<-finished
+}
+
+// Guards against an idle timeout that drops a request which arrived at the same moment, for
+// example while the process was paused.
+func TestIdleTimeoutServesRequestThatHasArrived(t *testing.T) {
+	arrived := make(chan struct{})
+	_, _, c := startHooked(t, func(i int, read func() (int, error)) (int, error) {
+		if i == 2 {
+			<-arrived
+			return 0, os.ErrDeadlineExceeded
+		}
+		return read()
+	})
+	br := bufio.NewReader(c)
+	for _, path := range []string{"/1", "/2", "/3"} {
+		send(t, c, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		if path == "/2" {
+			close(arrived)
+		}
+		_, body := readResponse(t, br)
+		assert.Equal(t, body, path+" ")
+	}
+}
+
 // slowListener takes a while to accept a connection.
 type slowListener struct{ *net.TCPListener }
 
