Count the time of the notifications into the stop of a host

Callers saw: a stopping host went on to accept requests for up to 0.4 s longer if another host was slow to respond to its notification, for example because it was stopped too.

Cause: the host waited for the responses first, and then for the whole time until cached lookups have expired. It now waits until a deadline that counts from the signal.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -352,6 +352,13 @@
 	return max(0, min(limit, ttl+lookupRemovalTime)-acceptor.ShutdownAcceptWindow)
 }
 
+// acceptUntil notifies other hosts and returns at the deadline, or when ctx is done. Other
+// hosts may take long to respond.
+func acceptUntil(ctx context.Context, deadline time.Time, notify func(context.Context)) {
+	notify(ctx)
+	sleeper.Sleep(ctx, time.Until(deadline))
+}
+
 // stop stops the host gracefully. It returns before the grace period ends, also if
 // requests are still in flight.
 func (c *Conductor) stop(ctx context.Context, callers acceptor.Listener) {
@@ -360,8 +367,7 @@
 	c.stopped.Store(true)
 	c.gossiper.SetReady(false)
 	c.acceptor.DisableKeepAlives()
-	c.notifyLeaving(ctx)
-	sleeper.Sleep(ctx, acceptDuration(grace, time.Duration(c.lookupTTL.Load())))
+	acceptUntil(ctx, begun.Add(acceptDuration(grace, time.Duration(c.lookupTTL.Load()))), c.notifyLeaving)
 	shutdownCtx, cancel := context.WithDeadline(ctx, begun.Add(grace-stopExitMargin))
 	defer cancel()
 	c.acceptor.Shutdown(shutdownCtx, callers)
--- a/internal/process/conductor/reload_internal_test.go
+++ b/internal/process/conductor/reload_internal_test.go
@@ -1,7 +1,9 @@
 package conductor
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -68,3 +70,13 @@
 		})
 	}
 }
+
+// Guards against a stopping host that accepts requests for longer because other hosts take
+// long to respond to its notification, and then aborts the last ones.
+func TestSlowNotificationDoesNotExtendAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		acceptUntil(t.Context(), begun.Add(3*time.Second), func(context.Context) { time.Sleep(leaveTimeout) })
+		assert.Equal(t, time.Since(begun), 3*time.Second)
+	})
+}
