Close a connection cleanly after a refusal of the acceptor

Callers saw: the connection was reset right after a refusal such as 413, while they were still sending, so that the refusal could be lost.

Cause: the connection decided whether to discard what the caller still sends before the refusal was written.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -123,15 +123,14 @@
 // finish waits for the requests in flight and closes a connection from which no further
 // request is read. If the caller disconnected, it cancels these requests first.
 func (c *conn) finish(wg *sync.WaitGroup) {
-	closing := c.isClosing()
-	if closing {
+	if c.isClosing() {
 		c.discardUntilDone(wg)
 	} else {
 		c.cancel(cmp.Or(c.readErr, errCallerDisconnected))
 		wg.Wait()
 	}
 	c.cancel(errResponseComplete)
-	if closing {
+	if c.isClosing() {
 		c.linger()
 	}
 	_ = c.raw.Close()
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -231,3 +232,18 @@
 	assert.Equal(t, r.StatusCode, http.StatusRequestTimeout)
 	assert.Assert(t, r.Close)
 }
+
+// Guards against a refusal that is lost because its connection is reset while the rest of
+// the request is unread.
+func TestRefusalIsFollowedByCleanClose(t *testing.T) {
+	h := newHandler()
+	_, dial := startAcceptor(t, h)
+	c := dial()
+	send(t, c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000000\r\n\r\n"+strings.Repeat("x", 256<<10))
+	br := bufio.NewReader(c)
+	r, _ := readResponse(t, br)
+	assert.Equal(t, r.StatusCode, http.StatusRequestEntityTooLarge)
+	assert.Assert(t, r.Close)
+	_, err := br.ReadByte()
+	assert.Equal(t, err, io.EOF)
+}
