Keep complete responses when a later one is aborted

Cause: the reset served to make an incomplete response visible. A response with a length or in chunks is visibly incomplete when its connection ends, so the connection is closed in the direction of the caller instead. Only a response that is delimited by the end of the connection still needs the reset. The requests behind the aborted one are canceled.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -35,6 +35,7 @@
 var (
 	errCallerDisconnected = errors.New("caller disconnected")
 	errResponseComplete   = errors.New("response is complete")
+	errResponseAborted    = errors.New("earlier response was aborted")
 )
 
 // conn is one connection of a caller. One goroutine reads the requests, and each request
@@ -331,6 +332,23 @@
 	return call, 0
 }
 
+// abort ends the connection after an incomplete response and cancels the requests behind it.
+// The end of the connection is visible to the caller as the end of a response only if the
+// response is delimited by it, so that one is reset. A reset would also discard complete
+// responses that have not been transmitted yet.
+func (c *conn) abort(closeDelimited bool) {
+	c.cancel(errResponseAborted)
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok || closeDelimited || tcp.CloseWrite() != nil {
+		if ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.raw.Close()
+		return
+	}
+	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+}
+
 // linger half-closes the connection after its last response and discards what the caller
 // still sends, for up to lingerTimeout.
 func (c *conn) linger() {
--- a/internal/connection/acceptor/response.go
+++ b/internal/connection/acceptor/response.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httputil"
 	"slices"
@@ -27,7 +26,7 @@
 	precedingDone <-chan struct{} // closed when the preceding response is complete
 	done          chan struct{}   // closed when this response is complete
 	headerWritten bool
-	aborted       bool // the connection is reset without a complete response
+	aborted       bool // the connection ends without a complete response
 	closesConn    bool // the connection closes after this response
 	chunkWriter   io.WriteCloser
 	bytesLeft     int64 // bytes of the body still to be written, negative if the length is unknown
@@ -148,8 +147,8 @@
 	return nil
 }
 
-// Abort makes the connection be reset at the end of the call, so that the caller can't
-// take a partial response for a complete one.
+// Abort makes the connection end after the call without the rest of the response, so that
+// the caller can't take a partial response for a complete one.
 func (w *ResponseWriter) Abort() { w.aborted = true }
 
 // Refuse writes a response with a status, a header and no body.
@@ -168,7 +167,7 @@
 	w.Refuse(http.StatusInternalServerError, nil)
 }
 
-// finish completes the response. It resets the connection after an abort, and otherwise
+// finish completes the response. It ends the connection after an abort, and otherwise
 // interrupts its reader if the connection is to be closed.
 func (w *ResponseWriter) finish() {
 	defer close(w.done)
@@ -201,10 +200,7 @@
 	c.mu.Unlock()
 	switch {
 	case w.aborted:
-		if tcp, ok := c.raw.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.raw.Close()
+		c.abort(w.bytesLeft < 0 && w.chunkWriter == nil)
 	case interruptRead:
 		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 	}
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -70,7 +71,8 @@
 }
 
 // hookedListener accepts connections whose reads go through onRead, which gets the number
-// of the read and a function that performs it.
+// of the read and a function that performs it. Without onRead it accepts connections whose
+// send buffer holds a long response.
 type hookedListener struct {
 	*net.TCPListener
 	onRead func(i int, read func() (int, error)) (int, error)
@@ -88,6 +90,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.onRead == nil {
+		return raw, raw.SetWriteBuffer(2 * longBodyBytes)
+	}
 	return &hookedConn{TCPConn: raw, l: l}, nil
 }
 
@@ -98,13 +103,13 @@
 }
 
 // startHooked starts an acceptor and returns it with its listener and a connection.
-func startHooked(t *testing.T, onRead func(i int, read func() (int, error)) (int, error)) (*acceptor.Acceptor, acceptor.Listener, net.Conn) {
+func startHooked(t *testing.T, h acceptor.Handler, onRead func(i int, read func() (int, error)) (int, error)) (*acceptor.Acceptor, acceptor.Listener, net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	hooked := &hookedListener{TCPListener: l.(*net.TCPListener), onRead: onRead}
-	a := acceptor.New(acceptor.Options{Handler: newHandler()})
+	a := acceptor.New(acceptor.Options{Handler: h})
 	go func() { _ = a.Serve(hooked) }()
 	c, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
@@ -116,7 +121,7 @@
 // from its socket and is not counted yet.
 func TestShutdownServesRequestThatHasJustBeenRead(t *testing.T) {
 	consumed, release := make(chan struct{}), make(chan struct{})
-	a, l, c := startHooked(t, func(i int, read func() (int, error)) (int, error) {
+	a, l, c := startHooked(t, newHandler(), func(i int, read func() (int, error)) (int, error) {
 		n, err := read()
 		if i == 2 {
 			close(consumed)
@@ -146,7 +151,7 @@
 // example while the process was paused.
 func TestIdleTimeoutServesRequestThatHasArrived(t *testing.T) {
 	arrived := make(chan struct{})
-	_, _, c := startHooked(t, func(i int, read func() (int, error)) (int, error) {
+	_, _, c := startHooked(t, newHandler(), func(i int, read func() (int, error)) (int, error) {
 		if i == 2 {
 			<-arrived
 			return 0, os.ErrDeadlineExceeded
@@ -247,3 +252,40 @@
 	_, err := br.ReadByte()
 	assert.Equal(t, err, io.EOF)
 }
+
+// abortingHandler responds with a long body, and aborts the response to /abort.
+type abortingHandler struct{ received chan struct{} }
+
+// Serve implements acceptor.Handler.
+func (h abortingHandler) Serve(_ context.Context, c *acceptor.Call, w *acceptor.ResponseWriter) {
+	h.received <- struct{}{}
+	_ = w.WriteHeader(http.StatusOK, nil, longBodyBytes)
+	if c.Request.URL.Path == "/abort" {
+		w.Abort()
+		return
+	}
+	_, _ = w.Write(make([]byte, longBodyBytes))
+}
+
+const longBodyBytes = 512 << 10
+
+// Guards against an aborted response that takes complete responses before it along, because
+// the connection is reset while these wait in its send buffer.
+func TestAbortKeepsEarlierResponses(t *testing.T) {
+	h := abortingHandler{make(chan struct{}, 2)}
+	a, _, c := startHooked(t, h, nil)
+	send(t, c, "GET /long HTTP/1.1\r\nHost: a\r\n\r\nGET /abort HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-h.received
+	<-h.received
+	for a.ActiveRequests() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	br := bufio.NewReader(c)
+	_, body := readResponse(t, br)
+	assert.Equal(t, len(body), longBodyBytes)
+	r, err := http.ReadResponse(br, nil)
+	if err == nil {
+		_, err = io.ReadAll(r.Body)
+	}
+	assert.ErrorContains(t, err, "EOF")
+}
