Do not end the process because a host connection could not be accepted

Cause: the listener for other hosts returned every error of Accept, and an error of any listener ends the process. The listener for callers already tries again; now both do, and both log it (event 111), at most once per second.

Evidence: TestServeRetriesAfterAcceptError failed before.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -111,6 +111,8 @@
 	// Guard runs f, recovers a panic and reports whether there was one. Place names f
 	// in logs. Nil means that panics are not recovered.
 	Guard func(place string, f func()) bool
+	// AcceptFailed is called with each error of Accept that is retried. It may be nil.
+	AcceptFailed func(error)
 }
 
 // Acceptor serves the connections of callers. It is safe for concurrent use.
@@ -139,6 +141,9 @@
 	if o.Guard == nil {
 		o.Guard = func(_ string, f func()) bool { f(); return false }
 	}
+	if o.AcceptFailed == nil {
+		o.AcceptFailed = func(error) {}
+	}
 	if o.Memory == nil {
 		o.Memory = new(reserver.Reserver)
 	}
@@ -160,6 +165,7 @@
 			}
 			continue
 		case err != nil:
+			a.options.AcceptFailed(err)
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -14,6 +15,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/loader"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
+	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -26,6 +28,9 @@
 	idleTimeout       = time.Minute
 	minBackoff        = 100 * time.Millisecond
 	maxBackoff        = 10 * time.Second
+	// acceptRetryDelay is the pause after a failed Accept, for example when the process has
+	// no file descriptors left.
+	acceptRetryDelay = 20 * time.Millisecond
 	// maxStreamsPerHost bounds the concurrent calls to one host, maxServedStreams the
 	// requests of all hosts served concurrently, and maxAcceptedSessions the sessions
 	// opened by other hosts.
@@ -52,6 +57,7 @@
 	security     security
 	handler      Handler
 	guard        guard
+	acceptFailed func(error)
 	frameMemory  *reserver.Reserver // for frames being read
 	streamSlots  chan struct{}
 	sessionSlots chan struct{}
@@ -79,6 +85,7 @@
 		security: sec, handler: handler, ctx: ctx, cancel: cancel,
 		frameMemory:   reserver.New(maxFrameMemoryBytes),
 		guard:         func(_ string, f func()) bool { f(); return false },
+		acceptFailed:  func(error) {},
 		streamSlots:   make(chan struct{}, maxServedStreams),
 		sessionSlots:  make(chan struct{}, maxAcceptedSessions),
 		dial:          new(net.Dialer).DialContext,
@@ -99,6 +106,10 @@
 // whether there was one. It must be called before Serve.
 func (l *Linker) UseGuard(g func(place string, f func()) bool) { l.guard = g }
 
+// OnAcceptError makes the Linker call report with each error of Accept that is retried. It
+// must be called before Serve.
+func (l *Linker) OnAcceptError(report func(error)) { l.acceptFailed = report }
+
 func yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.KeepAliveInterval = keepAliveInterval
@@ -112,7 +123,8 @@
 }
 
 // Serve accepts and serves sessions of other hosts. It returns nil after Close, and an
-// error of kind Internal if the listener fails.
+// error of kind Internal if the listener was closed otherwise. Other errors of Accept are
+// retried.
 func (l *Linker) Serve(listener net.Listener) error {
 	stop := context.AfterFunc(l.ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -124,8 +136,13 @@
 			}
 			return nil
 		}
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return classifier.Internal.Wrap(err, "accept host")
+		case err != nil:
+			l.acceptFailed(err)
+			sleeper.Sleep(l.ctx, acceptRetryDelay)
+			continue
 		}
 		select {
 		case l.sessionSlots <- struct{}{}:
--- a/internal/connection/linker/linker_test.go
+++ b/internal/connection/linker/linker_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -174,3 +175,33 @@
 	}
 	assert.Assert(t, client.peers[address].failures < 100, "%d dials", client.peers[address].failures)
 }
+
+// failingListener fails the first Accept as if the process had no file descriptors left.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that ends, with all requests in flight, because it has no file
+// descriptors left for a moment.
+func TestServeRetriesAfterAcceptError(t *testing.T) {
+	p := issue(t)
+	server := host(t, p, func(_ context.Context, e *framer.Envelope) (*framer.Envelope, error) { return e, nil })
+	reported := make(chan error, 1)
+	server.OnAcceptError(func(err error) { reported <- err })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(&failingListener{Listener: listener}) }()
+	_, err = host(t, p, nil).Call(t.Context(), listener.Addr().String(), &framer.Envelope{})
+	assert.NilError(t, err)
+	assert.ErrorIs(t, <-reported, syscall.EMFILE)
+}
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -139,6 +139,8 @@
 	syncCount       int          // calls of syncPartner; used by one goroutine
 	dialTimes       sync.Map     // time that a connection to a host took, by address
 
+	acceptErrorLogged atomic.Int64 // time of the last logged error, in nanoseconds since started
+
 	lookupTTL       atomic.Int64 // in nanoseconds
 	stopGracePeriod atomic.Int64 // in nanoseconds
 
@@ -167,6 +169,7 @@
 	}
 	c.linker.UseDial(c.dialPeer)
 	c.linker.UseGuard(c.recoverer.Do)
+	c.linker.OnAcceptError(c.logAcceptError)
 	c.gossiper = gossiper.New(c.selfMember(now), c.linker, c.seedAddresses)
 	c.gossiper.UseGuard(c.recoverer.Do)
 	c.gossiper.OnChange(c.memberChanged)
@@ -190,6 +193,7 @@
 	})
 	c.acceptor = acceptor.New(acceptor.Options{
 		Handler: requests, Limits: c.acceptorLimits, Concurrent: requests.Repeatable, Memory: memory, Guard: c.recoverer.Do,
+		AcceptFailed: c.logAcceptError,
 	})
 	c.followers = map[string]*follower.Follower{
 		p.UpstreamTable(): follower.New(p.UpstreamTable(), p, minUpstreamReadInterval, c),
@@ -380,6 +384,18 @@
 	c.gossiper.Leave(leaveCtx)
 }
 
+// logAcceptError logs that a listener could not accept a connection, at most once per
+// acceptErrorLogInterval.
+func (c *Conductor) logAcceptError(err error) {
+	now := int64(time.Since(c.started))
+	last := c.acceptErrorLogged.Load()
+	if last == 0 || now-last >= int64(acceptErrorLogInterval) {
+		if c.acceptErrorLogged.CompareAndSwap(last, now) {
+			c.log.Event(logger.AcceptFailed).Err(err).Send()
+		}
+	}
+}
+
 // logAborted logs that the process ends with count requests in flight.
 func (c *Conductor) logAborted(count int) {
 	requests := zerolog.Arr()
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -90,6 +90,7 @@
 	// membership and ending the process; the latter takes about 0.1 s on a slow host.
 	stopExitMargin = leaveTimeout + 200*time.Millisecond
 
+	acceptErrorLogInterval = time.Second
 	// maxLoggedRequests bounds the requests that are listed when a process ends with
 	// requests in flight.
 	maxLoggedRequests = 64
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -24,6 +24,7 @@
 	SettingsRefused        Event = 108
 	PanicRecovered         Event = 109
 	ProcessPaused          Event = 110
+	AcceptFailed           Event = 111
 	VersionAccepted        Event = 201
 	VersionInstalled       Event = 202
 	VersionRefused         Event = 203
@@ -63,6 +64,7 @@
 	SettingsRefused:        {zerolog.WarnLevel, "settings refused", "The settings file can't be read or fails a check; the previous settings stay in effect."},
 	PanicRecovered:         {zerolog.ErrorLevel, "panic recovered", "A bug in the code caused a panic in the task that the field place names; the process continues, and what the task was doing failed."},
 	ProcessPaused:          {zerolog.WarnLevel, "process paused", "The process got no CPU time for the duration in length; requests waited for the duration in took until its tables were confirmed to be current, or proceeded unconfirmed if confirmed is false."},
+	AcceptFailed:           {zerolog.WarnLevel, "accept failed", "A listener could not accept a connection, for example because the process has no file descriptors left; it tries again."},
 	VersionAccepted:        {zerolog.InfoLevel, "version accepted", "A configuration version published through this host won its conditional write."},
 	VersionInstalled:       {zerolog.InfoLevel, "version installed", "The configuration version in the field version is in effect on this host."},
 	VersionRefused:         {zerolog.WarnLevel, "version refused", "A release note or a copy of a configuration version failed a check."},
