Send no requests to an upstream whose entry became invalid

What callers saw: if another writer replaced the entry of an upstream by one that names none, running hosts went on to use the upstream as it was before, also after it had written in between that it drains. Hosts that started later did not use it, so hosts differed.

Cause: an invalid row was logged and otherwise ignored, and the follower gets only the newest row of a key.

Evidence: before, TestEntryThatBecomesInvalidNamesNoUpstream fails: the upstream "a" is still in its group after the invalid row. That a panic on one row leaves the others alone was so before (TestPanicOnOneRowLeavesOthers).

Fix: an invalid row removes the upstream like a deleted row. An upstream that runs registers again with its next heartbeat. Its rate limit is kept until then, as for an entry that expires.

--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -32,8 +32,8 @@
 	c.log.Event(logger.StoreRecovered).Str("table", table).Send()
 }
 
-// applyRegistration applies a row of the table of upstreams. An invalid row is logged and
-// ignored.
+// applyRegistration applies a row of the table of upstreams. An invalid row is logged. It
+// names no upstream, even if the row did before: what the upstream wrote last is unknown.
 func (c *Conductor) applyRegistration(r follower.Row, now time.Time, first bool) {
 	if r.Deleted {
 		c.registrar.Remove(r.Key, r.Version)
@@ -42,6 +42,7 @@
 	reg, err := c.platform.ParseRegistration(r)
 	if err != nil {
 		c.log.Event(logger.RegistrationInvalid).Str("key", r.Key).Uint64("row", r.Version).Err(err).Send()
+		c.registrar.Remove(r.Key, r.Version)
 		return
 	}
 	c.registrar.Put(reg, now, first)
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -67,7 +67,7 @@
 	VersionInstalled:       {zerolog.InfoLevel, "version installed", "The configuration version in the field version is in effect on this host."},
 	VersionRefused:         {zerolog.WarnLevel, "version refused", "A release note or a copy of a configuration version failed a check."},
 	ZoneEvacuated:          {zerolog.InfoLevel, "zone evacuated", "The operator evacuated the zone, or restored it if evacuated is false; its upstreams get no new requests, or get requests again as cold upstreams."},
-	RegistrationInvalid:    {zerolog.WarnLevel, "registration invalid", "A registration in the store can't be read and is ignored; other registrations are not affected."},
+	RegistrationInvalid:    {zerolog.WarnLevel, "registration invalid", "A registration in the store can't be read and names no upstream, even if it did before; other registrations are not affected."},
 	MemberChanged:          {zerolog.InfoLevel, "member changed", "The state or readiness of another host changed; state, accuser and reason give the new state and its cause."},
 	SharesChanged:          {zerolog.InfoLevel, "shares changed", "The field shares gives the number of shares of the ledger's limits that the host now holds."},
 	HolderGone:             {zerolog.WarnLevel, "holder gone", "An operator stated that the holder's machine no longer exists; its shares become free after 33 s."},
