Bound the log lines of invalid rows

What callers saw: nothing. An operator saw log lines as long as the row: an error of the JSON decoder quotes a number with all its digits, and others quote an unknown state or a time in full. Each host writes such a line for each change of the row, also one that another host passed on.

Cause: the error was logged as it is.

Fix: at most 256 bytes of the error are logged, cut at a whole character. The key is logged in full; the store bounds it to 200 bytes.

--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -1,12 +1,23 @@
 package conductor
 
 import (
+	"strings"
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 )
 
+// maxLoggedErrorBytes bounds the logged text of an error that may quote a row. Each host
+// logs each change of an invalid row.
+const maxLoggedErrorBytes = 256
+
+// shortText returns the beginning of the text of an error.
+func shortText(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxLoggedErrorBytes)], "")
+}
+
 // RowsChanged implements follower.Watcher.
 func (c *Conductor) RowsChanged(table string, rows []follower.Row, _, first bool) {
 	now := time.Now()
@@ -41,7 +52,7 @@
 	}
 	reg, err := c.platform.ParseRegistration(r)
 	if err != nil {
-		c.log.Event(logger.RegistrationInvalid).Str("key", r.Key).Uint64("row", r.Version).Err(err).Send()
+		c.log.Event(logger.RegistrationInvalid).Str("key", r.Key).Uint64("row", r.Version).Str("error", shortText(err)).Send()
 		c.registrar.Remove(r.Key, r.Version)
 		return
 	}
@@ -62,7 +73,7 @@
 	}
 	t, ok, err := c.platform.ParseConfiguration(r)
 	if err != nil {
-		c.log.Event(logger.VersionRefused).Uint64("row", r.Version).Err(err).Send()
+		c.log.Event(logger.VersionRefused).Uint64("row", r.Version).Str("error", shortText(err)).Send()
 		return
 	}
 	if old := c.table.Load(); !ok || (old != nil && t.Version() <= old.Version()) {
--- a/internal/process/conductor/rows_internal_test.go
+++ b/internal/process/conductor/rows_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -13,6 +14,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -32,6 +34,12 @@
 	return registrar.Registration{}, classifier.Invalid.New("%s", r.Value)
 }
 
+func (textPlatform) EvacuatedZone(string) (string, bool) { return "", false }
+
+func (textPlatform) ParseConfiguration(r follower.Row) (*matcher.Table, bool, error) {
+	return nil, false, classifier.Invalid.New("%s", r.Value)
+}
+
 func newRowConductor() (c *Conductor, log *bytes.Buffer) {
 	log = new(bytes.Buffer)
 	c = &Conductor{platform: textPlatform{}, registrar: registrar.New(map[string]string{"a1": "a"}), log: logger.New(log, zerolog.DebugLevel, "h")}
@@ -75,3 +83,18 @@
 	assert.DeepEqual(t, upstreamIDs(c), []string{"b"})
 	assert.Equal(t, strings.Count(log.String(), `"event":109`), 1, log)
 }
+
+// Guards against log lines as long as a row, which many hosts write for each change of it.
+func TestLogOfInvalidRowIsBounded(t *testing.T) {
+	for name, table := range map[string]string{"registration": "upstreams", "configuration": "op"} {
+		t.Run(name, func(t *testing.T) {
+			c, log := newRowConductor()
+			c.RowsChanged(table, []follower.Row{{Key: "odd", Value: []byte(strings.Repeat("ä", 30_000)), Version: 2}}, false, false)
+			assert.Equal(t, strings.Count(log.String(), "\n"), 1)
+			assert.Assert(t, log.Len() < 1000, "%d bytes", log.Len())
+			var line struct{ Error string }
+			assert.NilError(t, json.Unmarshal(log.Bytes(), &line))
+			assert.Assert(t, strings.Contains(line.Error, "ää"), line.Error)
+		})
+	}
+}
