Reject responses with a space between a framing field's name and its colon

Callers saw a 200 with a short or empty body, framed as complete, after an upstream sent "Content-Length : 12" and closed before the 12 bytes; with "Transfer-Encoding : chunked" they got the chunk sizes as a part of the body.

Cause: http.ReadResponse accepts a space before the colon, but keeps the field under the name with the space. The response then had no length and ended with its connection.

Before, in sender and steerer:

space_before_a_length_colon: closed after 47 bytes: "" is taken for complete space_before_a_coding_colon: closed after 55 bytes: "" is taken for complete misspelt_length,_buffered: GET /look/, closed after 51 bytes: body "" instead of that of the second upstream

The sender now fails such a response, so that a repeatable request goes to another upstream and another one gets status 502. Other fields with such a space are still dropped, as RFC 9112, section 5.1 allows. serve did not deliver them: it refuses responses without a length.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -181,6 +181,8 @@
 			return nil, errHeaderTooLong
 		case err != nil:
 			return nil, err
+		case hasMisspeltFraming(response.Header):
+			return nil, errors.New("space between the name of a framing field and its colon")
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("upstream switched protocols")
 		case response.StatusCode >= http.StatusOK:
@@ -190,6 +192,18 @@
 	}
 }
 
+// hasMisspeltFraming reports whether a framing field has a space before its colon.
+// http.ReadResponse accepts such a field under the name with the space, and so ignores it.
+func hasMisspeltFraming(h http.Header) bool {
+	for name := range h {
+		if trimmed := strings.TrimRight(name, " "); len(trimmed) < len(name) &&
+			(strings.EqualFold(trimmed, "Content-Length") || strings.EqualFold(trimmed, "Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // closeDelimited reports whether the body of the response ends where its connection is
 // closed.
 func closeDelimited(r *http.Response) bool {
--- a/internal/request/steerer/head_test.go
+++ b/internal/request/steerer/head_test.go
@@ -205,6 +205,7 @@
 	"two lengths":              {head: signedOK + "Content-Length: 4\r\nContent-Length: 5\r\n\r\n", body: "body5", broken: true},
 	"negative length":          {head: signedOK + "Content-Length: -4\r\n\r\n", body: "body", broken: true},
 	"misspelt coding":          {head: signedOK + "Transfer-Encoding: chunkd\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", broken: true},
+	"misspelt length":          {head: signedOK + "Content-Length : 12\r\n\r\n", body: "twelve bytes", broken: true},
 }
 
 // complete returns the body of the response if only its first n bytes arrive, and whether
