Decode chunked HTTP/1.0 responses of upstreams

Callers saw a 200 with an empty or short body, framed as complete, after an upstream sent a chunked response with the version HTTP/1.0 and closed in its header or body. A complete one reached callers with its chunk sizes as a part of the body.

Cause: http.ReadResponse ignores Transfer-Encoding in versions below HTTP/1.1. The response then had no length, or only its Content-Length, and ended with its connection.

The sender now reads HTTP/1.0 responses like those of HTTP/1.1, so that the chunks show where the body ends, and does not reuse their connection, as RFC 9112, section 6.1 asks. It fails responses with a lower version. HTTP/1.0 responses with a length, or without one and without a coding, are delivered as before.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -175,14 +175,12 @@
 func (c *Conn) readResponse(r *Request) (*http.Response, error) {
 	c.headerLimit.N = int64(c.sender.options.MaxHeaderBytes)
 	for {
-		response, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		response, err := c.readHeader(r.Method)
 		switch {
 		case err != nil && c.headerLimit.N <= 0:
 			return nil, errHeaderTooLong
 		case err != nil:
 			return nil, err
-		case hasMisspeltFraming(response.Header):
-			return nil, errors.New("space between the name of a framing field and its colon")
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("upstream switched protocols")
 		case response.StatusCode >= http.StatusOK:
@@ -192,6 +190,35 @@
 	}
 }
 
+const http10, http11 = "HTTP/1.0", "HTTP/1.1"
+
+// readHeader reads the header of the next response. It reads an HTTP/1.0 response like one
+// of HTTP/1.1, because http.ReadResponse ignores a Transfer-Encoding in HTTP/1.0 and would
+// take the chunks for a body that ends with the connection. The connection is not reused
+// after it (RFC 9112, section 6.1).
+func (c *Conn) readHeader(method string) (*http.Response, error) {
+	version, err := c.br.Peek(len(http10))
+	if err != nil {
+		return nil, err
+	}
+	isHTTP10 := string(version) == http10
+	if isHTTP10 {
+		_, _ = c.br.Discard(len(http10))
+		c.br = bufio.NewReaderSize(io.MultiReader(strings.NewReader(http11), c.br), readBufferBytes)
+	}
+	response, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	switch {
+	case err != nil:
+		return nil, err
+	case !response.ProtoAtLeast(1, 1):
+		return nil, errors.New("unsupported protocol version " + response.Proto)
+	case hasMisspeltFraming(response.Header):
+		return nil, errors.New("space between the name of a framing field and its colon")
+	}
+	response.Close = response.Close || isHTTP10
+	return response, nil
+}
+
 // hasMisspeltFraming reports whether a framing field has a space before its colon.
 // http.ReadResponse accepts such a field under the name with the space, and so ignores it.
 func hasMisspeltFraming(h http.Header) bool {
--- a/internal/request/steerer/head_test.go
+++ b/internal/request/steerer/head_test.go
@@ -194,6 +194,7 @@
 	"chunked":                  {head: signedOK + "Transfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n", want: "body0123456789abcdef"},
 	"chunked before signature": {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSigned: 1\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", want: "body"},
 	"chunked, trailers":        {head: signedOK + "Trailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\nSum: 1\r\n\r\n", want: "body"},
+	"chunked, version 1.0":     {head: "HTTP/1.0 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", want: "body"},
 	"chunked, empty":           {head: signedOK + "Transfer-Encoding: chunked\r\n\r\n", body: "0\r\n\r\n"},
 	"chunked and length":       {head: signedOK + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", want: "body"},
 	"no length":                {head: signedOK + "\r\n", body: "twelve bytes", want: "twelve bytes", atEnd: true},
