Keep the stated length of responses to HEAD and drop that of status 304

A caller of HEAD saw "Content-Length: 0" for a resource of 12 bytes, and for one without a stated length; so did callers with status 304. A caller that compares lengths takes its copy for outdated, or the resource for empty.

Cause: the steerer stated the length of the body that it had read, which is empty. Above 1 MiB it stated the upstream's.

The length now comes from the response for HEAD, and is left out for 304, where the library does not tell it (RFC 9110, section 8.6 allows both to be left out).

--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -260,6 +260,20 @@
 	return h
 }
 
+// statedLength returns the length that the response to the caller states, or -1 for none. A
+// response to a HEAD request states the length that a GET request would get, not that of
+// its own body. So does one with status 304, of which http.ReadResponse hides the length.
+func (a *attempt) statedLength() int64 {
+	switch {
+	case a.response.StatusCode == http.StatusNotModified:
+		return -1
+	case a.complete && a.x.call.Request.Method != http.MethodHead:
+		return int64(len(a.body))
+	default:
+		return a.response.ContentLength
+	}
+}
+
 // streamBody copies a long body to the caller as it arrives, at most until streamDeadline.
 // It returns the number of bytes written.
 func (a *attempt) streamBody(w *acceptor.ResponseWriter) (int64, error) {
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -287,13 +287,13 @@
 	header := a.responseHeader()
 	if a.complete {
 		x.bytes = int64(len(a.body))
-		if err := x.response.WriteHeader(x.status, header, x.bytes); err != nil {
+		if err := x.response.WriteHeader(x.status, header, a.statedLength()); err != nil {
 			return err
 		}
 		_, err := x.response.Write(a.body)
 		return err
 	}
-	if err := x.response.WriteHeader(x.status, header, a.response.ContentLength); err != nil {
+	if err := x.response.WriteHeader(x.status, header, a.statedLength()); err != nil {
 		a.closeConn()
 		return err
 	}
--- a/internal/request/steerer/head_test.go
+++ b/internal/request/steerer/head_test.go
@@ -292,6 +292,36 @@
 	assert.Equal(g.t, g.memory.Used(), int64(0), at)
 }
 
+// Guards against a response without a body that states the length of its empty body: a
+// caller takes it for the length of the resource.
+func TestLengthOfResponseWithoutBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, response string
+		want             string // Content-Length to the caller
+	}{
+		"HEAD, length":            {"HEAD", signedOK + "Content-Length: 12\r\n\r\n", "12"},
+		"HEAD, length 0":          {"HEAD", signedOK + "Content-Length: 0\r\n\r\n", "0"},
+		"HEAD, length over 1 MiB": {"HEAD", signedOK + "Content-Length: 2000000\r\n\r\n", "2000000"},
+		"HEAD, no length":         {"HEAD", signedOK + "\r\n", ""},
+		"HEAD, chunked":           {"HEAD", signedOK + "Transfer-Encoding: chunked\r\n\r\n", ""},
+		"not modified":            {"GET", "HTTP/1.1 304 Not Modified\r\nSigned: 1\r\nContent-Length: 12\r\n\r\n", ""},
+		"not modified, no length": {"GET", "HTTP/1.1 304 Not Modified\r\nSigned: 1\r\n\r\n", ""},
+		"no content":              {"GET", "HTTP/1.1 204 No Content\r\nSigned: 1\r\n\r\n", ""},
+		"empty body":              {"GET", signedOK + "Content-Length: 0\r\n\r\n", "0"},
+	} {
+		for memory, bodyBytes := range map[string]int64{"buffered": 0, "streamed": 1} {
+			t.Run(name+", "+memory, func(t *testing.T) {
+				g := newCutHost(t, bodyBytes)
+				defer g.prepare(c.response, io.EOF)()
+				r, body, err := g.send(c.method, "/look/", "HTTP/1.1")
+				assert.NilError(t, err)
+				assert.Equal(t, body, "")
+				assert.Equal(t, r.Header.Get("Content-Length"), c.want)
+			})
+		}
+	}
+}
+
 // Guards against a response over 1 MiB that is cut after it has begun to reach the caller
 // and then looks complete, also for an HTTP/1.0 caller, for which the end of the
 // connection ends a response without a length.
