Refuse chunked requests below HTTP/1.1

Upstreams saw: a request of HTTP/1.0 with chunks ran with an empty body, and on a kept connection its body ran as a request of its own (UNASKED).

Cause: http.ReadRequest ignores Transfer-Encoding below HTTP/1.1, and the check of the header let it pass. Such a request gets status 400 now (RFC 9112, section 6.1).

Evidence: TestCutRequestIsNotHandled, the cases 'chunked, version 1.0', failed before: handled "4 /b " and "POST /a ".

--- a/internal/connection/acceptor/head.go
+++ b/internal/connection/acceptor/head.go
@@ -69,6 +69,11 @@
 			}
 		case strings.EqualFold(name, "Transfer-Encoding"):
 			transferEncodings++
+			// http.ReadRequest ignores the field below HTTP/1.1, so that the chunks would be
+			// taken for the next request (RFC 9112, section 6.1).
+			if !strings.HasSuffix(lines[0], " HTTP/1.1") {
+				return http.StatusBadRequest
+			}
 			if !strings.EqualFold(strings.Trim(value, " \t"), "chunked") {
 				return http.StatusNotImplemented
 			}
