Do not believe refusals that contradict themselves

Callers saw "not run, try again" (503, or a 200 from a second upstream that ran the request again) for a request that must run at most once and that the first upstream had run.

Cause: an upstream that cuts the header of its response short inside a field, and writes another response behind it on the kept connection, sends two heads that parse as one. The first line of the second becomes part of a field. The result had the ID of the request that ran and the Not-Executed field of an earlier refusal, whatever its status and signature, and was taken for a refusal. The check of the response's ID does not see it: the first ID is right.

The fix: a refusal counts only with status 400, 408, 421, 429 or 503, without a signature and without a status line in a field; a response with different IDs counts for no request. Two heads that parse as one always have a status line in a field: at any other place the parser fails. The request then counts as one that may have run (502, or a retry if it is repeatable).

--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -179,6 +179,10 @@
 	s := a.response.StatusCode
 	a.metadata = a.x.s.options.Dialect.ResponseMetadata(s, a.response.Header)
 	switch {
+	case a.metadata.ConflictingIDs || a.metadata.NotRun && a.contradictoryRefusal():
+		a.closeConn()
+		a.metadata = ResponseMetadata{}
+		return classifier.ResponseMismatch.New("upstream %s sent a contradictory response with status %d", a.upstream.ID(), s)
 	case a.metadata.NotRun:
 		a.discardBody()
 		return classifier.Shed.New("upstream %s refused the request before running it", a.upstream.ID())
@@ -202,16 +206,6 @@
 	return nil
 }
 
-// impliesNotRun reports whether callers take a status to mean that the request did not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // readBody buffers the body up to maxBufferedBodyBytes, as far as memory is free.
 func (a *attempt) readBody() error {
 	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -33,6 +33,8 @@
 	NotRun  bool // the upstream has not run the request and will not
 	Load    registrar.Load
 	HasLoad bool // Load was reported
+	// ConflictingIDs means that the response has the IDs of more than one request.
+	ConflictingIDs bool
 	// RateLimit is the rate limit that the upstream states, if HasRateLimit is set.
 	RateLimit    registrar.RateLimit
 	HasRateLimit bool
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -56,6 +56,7 @@
 		panic("test: response that triggers a panic")
 	}
 	m := steerer.ResponseMetadata{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	m.ConflictingIDs = len(h["Id"]) > 1
 	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		m.RateLimit, m.HasRateLimit = registrar.RateLimit(limit), true
 	} else {
@@ -194,7 +195,7 @@
 	var err error
 	g.table, err = matcher.New(1, routes, []matcher.Service{{Name: "s"}}, matcher.Limits{})
 	assert.NilError(t, err)
-	s := sender.New(sender.Options{})
+	s := sender.New(sender.Options{Match: matchID})
 	t.Cleanup(s.Close)
 	g.steer = steerer.New(steerer.Options{
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: oneRegionPlanner{},
