Do not believe refusals without the ID of the request

Callers saw a 200 of a second upstream, or a 503, for a request that must run at most once and that the first upstream had run.

Cause: the first response on a new connection was taken for that to the request although it had no ID, which is right for a success, whose signature and body the caller checks, but a refusal that an upstream writes to a connection of its own accord looks the same.

Evidence before the fix, TestUnnamedRefusalOnNewConnectionIsNotBelieved: refusal, refusal of another instance, refusal after an interim one: "200 (int) != 502".

The fix: a refusal counts only with the ID of the request. Upstreams repeat the ID in all of their responses, so that their own refusals still let the request be sent again.

--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -179,10 +179,10 @@
 	s := a.response.StatusCode
 	a.metadata = a.x.s.options.Dialect.ResponseMetadata(s, a.response.Header)
 	switch {
-	case a.metadata.ConflictingIDs || a.metadata.NotRun && a.contradictoryRefusal():
+	case a.metadata.ConflictingIDs || a.metadata.NotRun && a.untrustedRefusal():
 		a.closeConn()
 		a.metadata = ResponseMetadata{}
-		return classifier.ResponseMismatch.New("upstream %s sent a contradictory response with status %d", a.upstream.ID(), s)
+		return classifier.ResponseMismatch.New("upstream %s sent a response with status %d that may belong to another request", a.upstream.ID(), s)
 	case a.metadata.NotRun:
 		a.discardBody()
 		return classifier.Shed.New("upstream %s refused the request before running it", a.upstream.ID())
--- a/internal/request/steerer/refusal_test.go
+++ b/internal/request/steerer/refusal_test.go
@@ -182,3 +182,29 @@
 		})
 	}
 }
+
+// Guards against a refusal without an ID that is taken for the response to a request that
+// ran. Also the first response on a connection may have been written without a request.
+func TestUnnamedRefusalOnNewConnectionIsNotBelieved(t *testing.T) {
+	for name, c := range map[string]struct {
+		response string
+		runs     bool
+		want     int
+		second   int64 // requests at the second upstream
+	}{
+		"refusal":                       {unnamedRefusal + secondOK, true, 502, 0},
+		"refusal of another instance":   {strings.Replace(unnamedRefusal, "503 Busy", "421 Other", 1) + secondOK, true, 502, 0},
+		"refusal after an interim one":  {"HTTP/1.1 100 Continue\r\nId: 2\r\n\r\n" + unnamedRefusal + secondOK, true, 502, 0},
+		"refusal with the request's ID": {strings.Replace(earlierRefusal, "Id: 1", "Id: 2", 1), false, 200, 1},
+		"success":                       {strings.Replace(secondOK, "Id: 2\r\n", "", 1), true, 200, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestHost(t, func(first, _ *upstream) {
+				first.handle = respondSteps(first, exchangeStep{firstOKAndEnd, true}, exchangeStep{c.response, c.runs})
+			})
+			assert.Equal(t, g.sendOnce("1"), 200)
+			assert.Equal(t, g.sendOnce("2"), c.want)
+			assert.Equal(t, g.second.received.Load(), c.second)
+		})
+	}
+}
