Send a request only once over a connection

Callers saw a 503 for a request that must run at most once and that an upstream had run.

Cause: a process that restarts at its address is registered under its old and its new ID for some time. A request for the old one is refused with 421 and sent again to the new one, over the same kept connection, because connections are pooled by address. If the upstream writes the refusal once more, it has the ID of the request, and was taken for the response.

Evidence before the fix, TestRefusalIsNotBelievedAtNextAttempt: "503 (int) != 200 (int)", with the request run once.

The fix: a further attempt at an address that the request was sent to before opens a new connection. A second copy then arrives on a connection that the request does not use.

--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -122,6 +122,15 @@
 		}
 		_ = c.conn.Close()
 	}
+	return s.open(ctx, p, address)
+}
+
+// GetNew opens a connection to the address. It returns errors as Get does.
+func (s *Sender) GetNew(ctx context.Context, address string) (*Conn, error) {
+	return s.open(ctx, s.pool(address), address)
+}
+
+func (s *Sender) open(ctx context.Context, p *idlePool, address string) (*Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, s.options.DialTimeout)
 	defer cancel()
 	s.dials.Add(1)
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -120,7 +120,7 @@
 func (a *attempt) roundTrip() error {
 	x := a.x
 	var err error
-	if a.conn, err = x.s.options.Sender.Get(a.ctx, a.upstream.Address()); err != nil {
+	if a.conn, err = a.connect(); err != nil {
 		return err
 	}
 	now := time.Now()
--- a/internal/request/steerer/refusal.go
+++ b/internal/request/steerer/refusal.go
@@ -3,11 +3,32 @@
 import (
 	"net/http"
 	"regexp"
+	"slices"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 )
 
 // statusLine matches the status line of a response.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
 
+// connect returns a connection to the upstream. It is new if a late second response to an
+// earlier request on it could not be told from the response by its ID.
+func (a *attempt) connect() (*sender.Conn, error) {
+	get := a.x.s.options.Sender.Get
+	if a.sharesAddress() {
+		get = a.x.s.options.Sender.GetNew
+	}
+	return get(a.ctx, a.upstream.Address())
+}
+
+// sharesAddress reports whether an earlier attempt of a request that is not repeatable went
+// to the same address. A process that restarted is registered under two IDs for some time.
+func (a *attempt) sharesAddress() bool {
+	return !a.x.repeatable() && slices.ContainsFunc(a.x.attempts, func(b *attempt) bool {
+		return b != a && b.upstream.Address() == a.upstream.Address()
+	})
+}
+
 // untrustedRefusal reports whether a response that says that the request did not run has
 // no ID or contradicts itself. Upstreams may cut a response short and write another one
 // behind it. The two are parsed as one, which may have the ID of a request that ran and the
--- a/internal/request/steerer/refusal_test.go
+++ b/internal/request/steerer/refusal_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
+	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 )
 
 // matchID compares the IDs of a request and a response like the host does.
@@ -208,3 +209,26 @@
 		})
 	}
 }
+
+// Guards against a second copy of a refusal that is taken for the response to the next
+// attempt of the same request: a process that restarts is registered with two IDs and one
+// address for some time, so that both attempts used one connection.
+func TestRefusalIsNotBelievedAtNextAttempt(t *testing.T) {
+	const refusal = "HTTP/1.1 421 Other\r\nId: 2\r\nInstance: 9\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	g := newTestHost(t, func(first, _ *upstream) {
+		refuse := respondSteps(first, exchangeStep{refusal, false}, exchangeStep{refusal + secondOK, true})
+		serve := respondOK(first)
+		first.handle = func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Instance") == "9" {
+				serve(w, r)
+				return
+			}
+			refuse(w, r)
+		}
+	})
+	g.remove(g.second.id)
+	g.register(registrar.Registration{ID: "9", Service: "s", Address: g.first.address, Zone: "z", Slots: 4, RowVersion: 3})
+	assert.Equal(t, g.sendOnce("2"), 200)
+	assert.Equal(t, g.first.ran.Load(), int64(1))
+	assert.Equal(t, g.second.received.Load(), int64(0))
+}
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -76,6 +76,7 @@
 // upstream counts the requests that it received and those that it ran.
 type upstream struct {
 	id       string
+	address  string
 	ran      atomic.Int64
 	received atomic.Int64
 	handle   http.HandlerFunc
@@ -162,6 +163,7 @@
 	watchdog *watchdog
 	log      *logLines
 	remove   func(id string)
+	register func(registrar.Registration)
 	dial     func() net.Conn
 }
 
@@ -182,8 +184,9 @@
 		server.Config.ErrorLog = nil
 		server.Start()
 		t.Cleanup(server.Close)
+		u.address = strings.TrimPrefix(server.URL, "http://")
 		reg.Put(registrar.Registration{
-			ID: fmt.Sprint(i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "z", Slots: 4, RowVersion: 1,
+			ID: fmt.Sprint(i), Service: "s", Address: u.address, Zone: "z", Slots: 4, RowVersion: 1,
 		}, time.Now(), true)
 		ups = append(ups, u)
 	}
@@ -226,6 +229,7 @@
 	g.first.ran.Store(0)
 	setHandlers(g.first, g.second)
 	g.remove = func(id string) { reg.Remove(id, 2) }
+	g.register = func(r registrar.Registration) { reg.Put(r, time.Now(), true) }
 	return g
 }
 
