Open a new connection for a request without an ID

A caller whose request had no ID got the response to an earlier request without one, or the request ran twice: a late refusal of the earlier one was taken for the response, and a second upstream got the request.

Cause: the ID of the response was compared with that of the request. Neither had one, so they were equal, and the rule for responses without an ID on a connection in use again did not apply.

Evidence before the fix, TestRequestWithoutIDGetsNewConnection: refusal, the second upstream received "1 (int64) != 0 (int64)" requests; success, "1 (int64) != 2 (int64)" connections.

The fix: such requests, which are rare, get a connection that carried no other request.

--- a/internal/request/steerer/refusal.go
+++ b/internal/request/steerer/refusal.go
@@ -15,7 +15,7 @@
 // earlier request on it could not be told from the response by its ID.
 func (a *attempt) connect() (*sender.Conn, error) {
 	get := a.x.s.options.Sender.Get
-	if a.sharesAddress() {
+	if a.x.id == "" || a.sharesAddress() {
 		get = a.x.s.options.Sender.GetNew
 	}
 	return get(a.ctx, a.upstream.Address())
--- a/internal/request/steerer/refusal_test.go
+++ b/internal/request/steerer/refusal_test.go
@@ -232,3 +232,28 @@
 	assert.Equal(t, g.first.ran.Load(), int64(1))
 	assert.Equal(t, g.second.received.Load(), int64(0))
 }
+
+// Guards against a refusal of an earlier request that is taken for the response to a
+// request without an ID: neither has one, so the connection must not have carried another.
+func TestRequestWithoutIDGetsNewConnection(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 3\r\n\r\nown"
+	for name, c := range map[string]struct {
+		earlier string // written in front of the response on a connection in use again
+	}{"refusal": {unnamedRefusal}, "success": {strings.Replace(firstOK, "Id: 1\r\n", "", 1)}} {
+		t.Run(name, func(t *testing.T) {
+			var connections atomic.Int64
+			g := newTestHost(t, func(first, _ *upstream) {
+				first.handle = func(w http.ResponseWriter, r *http.Request) {
+					connections.Add(1)
+					respondSteps(first, exchangeStep{ok, true}, exchangeStep{c.earlier + ok, true})(w, r)
+				}
+			})
+			for range 2 {
+				assert.Equal(t, g.sendOnce(""), 200)
+			}
+			assert.Equal(t, g.second.received.Load(), int64(0))
+			assert.Equal(t, g.first.ran.Load(), int64(2))
+			assert.Equal(t, connections.Load(), int64(2))
+		})
+	}
+}
