Test that unfinished attempts are never refused as not run

They show that a request of which a byte left the host is not reported as not run and is not sent to a second upstream: no response, a refusal after the deadline or before the body is read, an incomplete refusal, a connection that is closed or reset before, during or after the write.

--- a/internal/request/steerer/refusal_test.go
+++ b/internal/request/steerer/refusal_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -86,6 +87,7 @@
 	secondOK       = "HTTP/1.1 200 OK\r\nId: 2\r\nSigned: 1\r\nContent-Length: 3\r\n\r\nown"
 	secondFailed   = "HTTP/1.1 500 Failed\r\nId: 2\r\nContent-Length: 0\r\n\r\n"
 	earlierRefusal = "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	secondRefusal  = "HTTP/1.1 503 Busy\r\nId: 2\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	unnamedRefusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -153,7 +155,7 @@
 // takes for the response to the next request.
 func TestRefusalOnIdleConnectionIsNotBelieved(t *testing.T) {
 	for name, refusal := range map[string]string{
-		"with its ID": earlierRefusal, "with the ID of the next request": strings.Replace(earlierRefusal, "Id: 1", "Id: 2", 1), "without an ID": unnamedRefusal,
+		"with its ID": earlierRefusal, "with the ID of the next request": secondRefusal, "without an ID": unnamedRefusal,
 	} {
 		t.Run(name, func(t *testing.T) {
 			written := make(chan struct{})
@@ -196,7 +198,7 @@
 		"refusal":                       {unnamedRefusal + secondOK, true, 502, 0},
 		"refusal of another instance":   {strings.Replace(unnamedRefusal, "503 Busy", "421 Other", 1) + secondOK, true, 502, 0},
 		"refusal after an interim one":  {"HTTP/1.1 100 Continue\r\nId: 2\r\n\r\n" + unnamedRefusal + secondOK, true, 502, 0},
-		"refusal with the request's ID": {strings.Replace(earlierRefusal, "Id: 1", "Id: 2", 1), false, 200, 1},
+		"refusal with the request's ID": {secondRefusal, false, 200, 1},
 		"success":                       {strings.Replace(secondOK, "Id: 2\r\n", "", 1), true, 200, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -257,3 +259,64 @@
 		})
 	}
 }
+
+// Guards against a caller that is told "not run", or a second upstream that gets the
+// request, while the first one may still run it.
+func TestUnfinishedAttemptIsNotRefused(t *testing.T) {
+	readBody := func(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
+	reset := func(conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	for name, c := range map[string]struct {
+		serve func(conn net.Conn, r *http.Request)
+		want  int
+	}{
+		"no response": {func(conn net.Conn, r *http.Request) { readBody(r); _, _ = io.Copy(io.Discard, conn) }, 504},
+		"refusal after the deadline": {func(conn net.Conn, r *http.Request) {
+			readBody(r)
+			time.Sleep(1100 * time.Millisecond)
+			_, _ = io.WriteString(conn, secondRefusal)
+		}, 504},
+		"closed after the body":         {func(_ net.Conn, r *http.Request) { readBody(r) }, 502},
+		"reset before the body is read": {func(conn net.Conn, _ *http.Request) { reset(conn) }, 502},
+		"earlier refusal before the body is read": {func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, earlierRefusal)
+			readBody(r)
+			_, _ = io.WriteString(conn, secondOK)
+		}, 200},
+		"unnamed refusal before the body is read": {func(conn net.Conn, r *http.Request) { _, _ = io.WriteString(conn, unnamedRefusal); readBody(r) }, 502},
+		"incomplete refusal": {func(conn net.Conn, r *http.Request) {
+			readBody(r)
+			_, _ = io.WriteString(conn, secondRefusal[:len(secondRefusal)-4])
+		}, 502},
+		"interim response with the field, then none": {func(conn net.Conn, r *http.Request) {
+			readBody(r)
+			_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\nId: 2\r\nNot-Run: 1\r\n\r\n")
+		}, 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestHost(t, func(first, _ *upstream) {
+				first.handle = func(w http.ResponseWriter, _ *http.Request) {
+					conn, br, err := w.(http.Hijacker).Hijack()
+					if err != nil {
+						return
+					}
+					defer conn.Close()
+					c.serve(conn, &http.Request{Body: io.NopCloser(io.LimitReader(br, longBodyBytes))})
+				}
+			})
+			conn := g.dial()
+			_, err := fmt.Fprintf(conn, "POST /pay/1 HTTP/1.1\r\nHost: h\r\nId: 2\r\nObject: %s\r\nPatience: 1s\r\nContent-Length: %d\r\n\r\n%s", object, longBodyBytes, strings.Repeat("x", longBodyBytes))
+			assert.NilError(t, err)
+			r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, r.StatusCode, c.want)
+			time.Sleep(50 * time.Millisecond)
+			assert.Equal(t, g.second.received.Load(), int64(0))
+		})
+	}
+}
+
+// longBodyBytes is a body that the host buffers and that is longer than a segment.
+const longBodyBytes = 900 << 10
