Test that a refused request does not return to its upstream

An upstream that registers again while it refuses a request, and pauses before later attempts, do not bring the request back to it. A request whose caller is told that its body is malformed or incomplete reaches no upstream.

--- a/internal/request/steerer/refusal_test.go
+++ b/internal/request/steerer/refusal_test.go
@@ -320,3 +320,60 @@
 
 // longBodyBytes is a body that the host buffers and that is longer than a segment.
 const longBodyBytes = 900 << 10
+
+// Guards against a refused request that is sent to the same upstream again, where a second
+// copy of the refusal could not be told from the response, because its registration changed
+// or because the process was paused.
+func TestRefusedRequestDoesNotReturnToUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		pauseBefore func(call int64) bool
+		want        int
+		second      int64
+	}{
+		"not paused":                               {nil, 200, 1},
+		"paused before the second attempt":         {func(n int64) bool { return n == 4 }, 200, 1},
+		"paused before each of the later attempts": {func(n int64) bool { return n > 2 && n%2 == 0 }, 503, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestHost(t, func(_, _ *upstream) {})
+			refuse := respondStatus(g.first, 503, "Not-Run")
+			g.first.handle = func(w http.ResponseWriter, r *http.Request) {
+				g.register(registrar.Registration{ID: g.first.id, Service: "s", Address: g.first.address, Zone: "z", Slots: 5, RowVersion: 3})
+				refuse(w, r)
+			}
+			g.watchdog.pauseBefore = c.pauseBefore
+			assert.Equal(t, g.sendOnce("2"), c.want)
+			assert.Equal(t, g.first.received.Load(), int64(1))
+			assert.Equal(t, g.second.received.Load(), c.second)
+		})
+	}
+}
+
+// Guards against a request that reaches an upstream although its caller was told that its
+// body is malformed or incomplete.
+func TestIncompleteRequestBodyIsNotSent(t *testing.T) {
+	part := fmt.Sprintf("%x\r\n%s\r\n", 300<<10, strings.Repeat("x", 300<<10))
+	for name, c := range map[string]struct {
+		body string
+		want int
+	}{
+		"short, malformed":  {part + "x\r\n", 400},
+		"long, malformed":   {strings.Repeat(part, 5) + "x\r\n", 400},
+		"short, incomplete": {part, 0},
+		"long, incomplete":  {strings.Repeat(part, 5), 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestHost(t, func(_, _ *upstream) {})
+			conn := g.dial()
+			_, err := fmt.Fprintf(conn, "POST /pay/1 HTTP/1.1\r\nHost: h\r\nId: 2\r\nObject: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s", object, c.body)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			status := 0
+			if r, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				status = r.StatusCode
+			}
+			assert.Equal(t, status, c.want)
+			assert.Equal(t, g.first.received.Load()+g.second.received.Load(), int64(0))
+		})
+	}
+}
