--- a/internal/connection/acceptor/head.go
+++ b/internal/connection/acceptor/head.go
@@ -69,13 +69,8 @@
 			}
 		case strings.EqualFold(name, "Transfer-Encoding"):
 			transferEncodings++
-			// http.ReadRequest ignores the field below HTTP/1.1, so that the chunks would be
-			// taken for the next request (RFC 9112, section 6.1).
-			if !strings.HasSuffix(lines[0], " HTTP/1.1") {
-				return http.StatusBadRequest
-			}
-			if !strings.EqualFold(strings.Trim(value, " \t"), "chunked") {
-				return http.StatusNotImplemented
+			if status := validateTransferEncoding(lines[0], value); status != 0 {
+				return status
 			}
 		}
 	}
@@ -85,6 +80,20 @@
 	return 0
 }
 
+// validateTransferEncoding returns the status of the error response, or 0. Below HTTP/1.1
+// http.ReadRequest ignores the field, so that the chunks would be taken for the next request
+// (RFC 9112, section 6.1).
+func validateTransferEncoding(requestLine, value string) int {
+	switch {
+	case !strings.HasSuffix(requestLine, " HTTP/1.1"):
+		return http.StatusBadRequest
+	case !strings.EqualFold(strings.Trim(value, " \t"), "chunked"):
+		return http.StatusNotImplemented
+	default:
+		return 0
+	}
+}
+
 func isDigits(s string) bool {
 	if s == "" {
 		return false
