Do not deliver two responses whose headers parse as one

Callers saw: status and fields of the response to their request with the body of another response (MIXED). An upstream that stops inside a header field and writes an earlier response behind it has both headers parsed as one.

Cause: only refusals were checked for a status line inside a field. Now all responses are; such a response counts as one of another request: the caller gets that of another upstream, or 502 if the request must not run again.

Evidence: TestRepeatedRefusalIsNotBelieved, case 'success cut short, then a success', gave 200 instead of 502 before.

--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -179,7 +179,7 @@
 	s := a.response.StatusCode
 	a.metadata = a.x.s.options.Dialect.ResponseMetadata(s, a.response.Header)
 	switch {
-	case a.metadata.ConflictingIDs || a.metadata.NotRun && a.untrustedRefusal():
+	case a.metadata.ConflictingIDs || containsStatusLine(a.response.Header) || a.metadata.NotRun && a.untrustedRefusal():
 		a.closeConn()
 		a.metadata = ResponseMetadata{}
 		return classifier.ResponseMismatch.New("upstream %s sent a response with status %d that may belong to another request", a.upstream.ID(), s)
--- a/internal/request/steerer/refusal.go
+++ b/internal/request/steerer/refusal.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 )
@@ -30,25 +31,25 @@
 }
 
 // untrustedRefusal reports whether a response that says that the request did not run has
-// no ID or contradicts itself. Upstreams may cut a response short and write another one
-// behind it. The two are parsed as one, which may have the ID of a request that ran and the
-// fields of the refusal of another one.
+// no ID or contradicts itself.
 func (a *attempt) untrustedRefusal() bool {
 	status, h := a.response.StatusCode, a.response.Header
 	switch {
-	case a.x.s.options.Dialect.RequestID(h) != a.x.id, a.metadata.Signed, containsStatusLine(h):
+	case a.x.s.options.Dialect.RequestID(h) != a.x.id, a.metadata.Signed:
 		return true
 	default:
 		return !impliesNotRun(status) && status != http.StatusBadRequest
 	}
 }
 
-// containsStatusLine reports whether a field holds the status line of another response,
-// which follows a response that was cut short in this field.
+// containsStatusLine reports whether a field holds the status line of another response.
+// Upstreams may cut a response short and write another one behind it. The two are parsed as
+// one, which may have the ID of one of them and the status, the fields and the body of the
+// other.
 func containsStatusLine(h http.Header) bool {
 	for _, values := range h {
 		for _, v := range values {
-			if statusLine.MatchString(v) {
+			if strings.Contains(v, "HTTP/1.") && statusLine.MatchString(v) {
 				return true
 			}
 		}
