--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -120,7 +120,7 @@
 func (a *attempt) roundTrip() error {
 	x := a.x
 	var err error
-	if a.conn, err = x.s.options.Sender.Get(a.ctx, a.upstream.Address()); err != nil {
+	if a.conn, err = a.connect(); err != nil {
 		return err
 	}
 	now := time.Now()
@@ -179,6 +179,10 @@
 	s := a.response.StatusCode
 	a.metadata = a.x.s.options.Dialect.ResponseMetadata(s, a.response.Header)
 	switch {
+	case a.metadata.ConflictingIDs || a.metadata.NotRun && a.untrustedRefusal():
+		a.closeConn()
+		a.metadata = ResponseMetadata{}
+		return classifier.ResponseMismatch.New("upstream %s sent a response with status %d that may belong to another request", a.upstream.ID(), s)
 	case a.metadata.NotRun:
 		a.discardBody()
 		return classifier.Shed.New("upstream %s refused the request before running it", a.upstream.ID())
@@ -202,16 +206,6 @@
 	return nil
 }
 
-// impliesNotRun reports whether callers take a status to mean that the request did not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // readBody buffers the body up to maxBufferedBodyBytes, as far as memory is free.
 func (a *attempt) readBody() error {
 	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
@@ -260,6 +254,20 @@
 	return h
 }
 
+// statedLength returns the length that the response to the caller states, or -1 for none. A
+// response to a HEAD request states the length that a GET request would get, not that of
+// its own body. So does one with status 304, of which http.ReadResponse hides the length.
+func (a *attempt) statedLength() int64 {
+	switch {
+	case a.response.StatusCode == http.StatusNotModified:
+		return -1
+	case a.complete && a.x.call.Request.Method != http.MethodHead:
+		return int64(len(a.body))
+	default:
+		return a.response.ContentLength
+	}
+}
+
 // streamBody copies a long body to the caller as it arrives, at most until streamDeadline.
 // It returns the number of bytes written.
 func (a *attempt) streamBody(w *acceptor.ResponseWriter) (int64, error) {
