Count a pause of the process into the time for which a stopping host accepts requests

Callers saw: requests were lost when the platform killed a host at the end of the grace period. The host had been paused when the stop signal was sent, handled it at the end of the pause, and accepted requests as if the whole grace period were left.

The signal is now taken for as old as a pause that has just ended, for accepting requests only: requests in flight still get all the time that there may be.

Evidence: TestStopSignalDuringPauseShortensAcceptance.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -356,6 +356,15 @@
 	return max(0, min(limit, ttl+lookupRemovalTime)-acceptor.ShutdownAcceptWindow)
 }
 
+// stopDeadlines returns until when a host that handles the stop signal at begun accepts
+// requests, and when it exits at the latest. The signal may have been sent at the start of a
+// pause of the process that has just ended, so that the platform kills the process that much
+// earlier. Then the host accepts requests for a shorter time, and still leaves those in
+// flight as long as it may have.
+func stopDeadlines(begun time.Time, pause, gracePeriod, ttl time.Duration) (acceptEnd, exit time.Time) {
+	return begun.Add(acceptDuration(gracePeriod, ttl) - pause), begun.Add(gracePeriod - stopExitMargin)
+}
+
 // acceptUntil notifies other hosts and returns at the deadline, or when ctx is done. Other
 // hosts may take long to respond.
 func acceptUntil(ctx context.Context, deadline time.Time, notify func(context.Context)) {
@@ -367,12 +376,14 @@
 // requests are still in flight.
 func (c *Conductor) stop(ctx context.Context, callers acceptor.Listener) {
 	begun, grace := time.Now(), time.Duration(c.stopGracePeriod.Load())
-	c.log.Event(logger.HostLeaving).Int("flight", c.acceptor.ActiveRequests()).Send()
+	pause, _ := c.watchdog.Heartbeat()
+	c.log.Event(logger.HostLeaving).Int("flight", c.acceptor.ActiveRequests()).Dur("pause", pause).Send()
 	c.stopped.Store(true)
 	c.gossiper.SetReady(false)
 	c.acceptor.DisableKeepAlives()
-	acceptUntil(ctx, begun.Add(acceptDuration(grace, time.Duration(c.lookupTTL.Load()))), c.notifyLeaving)
-	shutdownCtx, cancel := context.WithDeadline(ctx, begun.Add(grace-stopExitMargin))
+	acceptEnd, exit := stopDeadlines(begun, pause, grace, time.Duration(c.lookupTTL.Load()))
+	acceptUntil(ctx, acceptEnd, c.notifyLeaving)
+	shutdownCtx, cancel := context.WithDeadline(ctx, exit)
 	defer cancel()
 	c.acceptor.Shutdown(shutdownCtx, callers)
 	if n := c.acceptor.ActiveRequests(); n > 0 {
--- a/internal/process/conductor/reload_internal_test.go
+++ b/internal/process/conductor/reload_internal_test.go
@@ -80,3 +80,16 @@
 		assert.Equal(t, time.Since(begun), 3*time.Second)
 	})
 }
+
+// Guards against a host that is killed while it accepts requests, because it was paused when
+// the stop signal was sent and counts the grace period from the end of the pause.
+func TestStopSignalDuringPauseShortensAcceptance(t *testing.T) {
+	const grace, ttl = 6 * time.Second, 2 * time.Second
+	begun := time.Now()
+	acceptEnd, exit := stopDeadlines(begun, 0, grace, ttl)
+	for _, pause := range []time.Duration{0, time.Second, 4 * time.Second} {
+		end, pausedExit := stopDeadlines(begun, pause, grace, ttl)
+		assert.Equal(t, acceptEnd.Sub(end), pause)
+		assert.Equal(t, pausedExit, exit)
+	}
+}
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -56,7 +56,7 @@
 var catalogue = map[Event]catalogueEntry{
 	HostStarted:            {zerolog.InfoLevel, "host started", "The listeners are open; the host is not ready yet."},
 	HostReady:              {zerolog.InfoLevel, "host ready", "The host has a configuration and its shares of the limits, and accepts requests."},
-	HostLeaving:            {zerolog.InfoLevel, "host leaving", "A graceful shutdown began; the host is withdrawn from lookup responses."},
+	HostLeaving:            {zerolog.InfoLevel, "host leaving", "A graceful shutdown began; the host is withdrawn from lookup responses. On `entry`, pause is the length of a pause of the process that has just ended."},
 	HostStopped:            {zerolog.InfoLevel, "host stopped", "The process exits, because of the error if there is one; dropped, where given, counts requests that were read and did not run because their connection was closing."},
 	RequestsAborted:        {zerolog.WarnLevel, "requests aborted", "A second signal or the hard deadline ended requests in flight; count says how many, and requests, where given, lists their ids, and on `entry` their ages and how many requests were in flight on the connection."},
 	ListenFailed:           {zerolog.ErrorLevel, "listen failed", "A listener could not be opened; the process exits."},
