Keep a closing connection open until its last response is acknowledged

Cause: the acceptor discarded what arrives after the last response for 0.5 s and then closed the socket, whatever waited in its send buffer. The kernel answers bytes that arrive at a closed socket with a reset and drops its send buffer. With the slowest supported link (10 Mbit/s), 625 KB in the send buffer take longer than that.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -28,7 +28,11 @@
 	// lingerTimeout is how long the connection is drained after its last response.
 	// Closing a socket with unread bytes resets the connection, which could make the
 	// caller lose the response.
-	lingerTimeout    = 500 * time.Millisecond
+	lingerTimeout = 500 * time.Millisecond
+	// maxLingerTime bounds how long a connection stays open after its last response while
+	// the caller has not acknowledged the whole response. It is the time that one write of
+	// the response may take.
+	maxLingerTime    = writeTimeout
 	writeBufferBytes = 4 << 10
 )
 
@@ -350,13 +354,18 @@
 }
 
 // linger half-closes the connection after its last response and discards what the caller
-// still sends, for up to lingerTimeout.
+// still sends, for lingerTimeout and until the caller has acknowledged the response.
 func (c *conn) linger() {
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.raw)
+	for end := time.Now().Add(maxLingerTime); time.Now().Before(end); {
+		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, err := io.Copy(io.Discard, c.raw)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !peeker.HasUnacknowledged(c.raw) {
+			return
+		}
+	}
 }
 
 var errTooLarge = errors.New("request body exceeds the limit")
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -289,3 +289,19 @@
 	}
 	assert.ErrorContains(t, err, "EOF")
 }
+
+// Guards against a caller that loses the end of its last response because it reads slowly and
+// still sends requests when the connection is closed.
+func TestClosePreservesResponseOfSlowReader(t *testing.T) {
+	h := abortingHandler{make(chan struct{}, 1)}
+	a, _, c := startHooked(t, h, nil)
+	a.DisableKeepAlives()
+	for range 20 {
+		// An error would show in the response.
+		_, _ = io.WriteString(c, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+	}
+	r, body := readResponse(t, bufio.NewReader(c))
+	assert.Assert(t, r.Close)
+	assert.Equal(t, len(body), longBodyBytes)
+}
--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -48,3 +48,23 @@
 	})
 	return err == nil && readable
 }
+
+// HasUnacknowledged reports whether the peer has not acknowledged all that was written to the
+// connection, including its end. It returns false for a connection without a file descriptor
+// and on any error.
+func HasUnacknowledged(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unacknowledged := false
+	err = raw.Control(func(fd uintptr) {
+		n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		unacknowledged = ioctlErr == nil && n > 0
+	})
+	return err == nil && unacknowledged
+}
--- a/internal/connection/peeker/peeker_test.go
+++ b/internal/connection/peeker/peeker_test.go
@@ -61,3 +61,35 @@
 	assert.NilError(t, l.Close())
 	assert.Assert(t, !peeker.Readable(l))
 }
+
+// Guards against bytes that count as acknowledged although the peer has no room for them, and
+// against acknowledged ones that count as outstanding.
+func TestHasUnacknowledged(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer client.Close()
+	server, err := l.Accept()
+	assert.NilError(t, err)
+	assert.Assert(t, !peeker.HasUnacknowledged(client))
+	assert.NilError(t, client.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = io.CopyN(client, zeros{}, 1<<30)
+	assert.ErrorContains(t, err, "timeout")
+	assert.Assert(t, peeker.HasUnacknowledged(client))
+	assert.NilError(t, client.(*net.TCPConn).CloseWrite())
+	_, err = io.Copy(io.Discard, server)
+	assert.NilError(t, err)
+	for peeker.HasUnacknowledged(client) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, client.Close())
+	assert.Assert(t, !peeker.HasUnacknowledged(client))
+}
+
+// zeros is an endless reader.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
