Notice a disconnect while the reader of a connection waits

Callers saw: nothing. Upstreams went on working on requests whose caller had left, and requests that waited behind these reached an upstream after that (GONE).

Cause: only a read of the socket detected a disconnect. The reader does not read while it waits: for earlier requests if the next one runs alone or is refused, for one of 16 requests in flight to complete, and for the response to a request with a streamed body. The reason that the package states for its existence did not hold in these cases.

Fix: while it waits, the reader asks the socket every 0.1 s whether the caller has closed it (POLLRDHUP), which unread data does not hide, and cancels the requests in flight.

Evidence: TestDisconnectWhileReaderWaitsCancelsRequests, before: "0 of 1 requests were canceled" (0 of 16 with more requests than may run) after 10 s, in all five cases.

--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -398,3 +399,48 @@
 	assert.Assert(t, memory.Peak() > 0 && memory.Peak() <= memoryLimitBytes, "%d", memory.Peak())
 	assert.Equal(t, memory.Used(), int64(0))
 }
+
+// Guards against requests that go on running after their caller disconnected, while the
+// reader of the connection waits for them.
+func TestDisconnectWhileReaderWaitsCancelsRequests(t *testing.T) {
+	const get, post = "GET /slow/get HTTP/1.1\r\nHost: a\r\n\r\n", "POST /slow/post HTTP/1.1\r\nHost: a\r\n"
+	for name, c := range map[string]struct {
+		text    string
+		running int
+	}{
+		"behind a request that runs alone": {text: post + "Content-Length: 0\r\n\r\n" + get, running: 1},
+		"before a request that runs alone": {text: get + post + "Content-Length: 0\r\n\r\n", running: 1},
+		"more requests than may run":       {text: strings.Repeat(get, 20), running: 16},
+		"refused request":                  {text: get + "GET / HTTP/1.1\r\nbad\r\n\r\n", running: 1},
+		"streamed body":                    {text: post + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2<<20, strings.Repeat("x", 2<<20)), running: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHandler()
+			_, dial := startAcceptor(t, bodyReadingHandler{h})
+			conn := dial()
+			send(t, conn, c.text)
+			for range c.running {
+				<-h.received
+			}
+			assert.NilError(t, conn.Close())
+			for i := range c.running {
+				select {
+				case <-h.disconnected:
+				case <-time.After(10 * time.Second):
+					t.Fatalf("%d of %d requests were canceled", i, c.running)
+				}
+			}
+		})
+	}
+}
+
+// bodyReadingHandler reads a streamed body before it handles the request.
+type bodyReadingHandler struct{ *handler }
+
+// Serve implements acceptor.Handler.
+func (h bodyReadingHandler) Serve(ctx context.Context, c *acceptor.Call, w *acceptor.ResponseWriter) {
+	if c.Request.Body != nil {
+		_, _ = io.Copy(io.Discard, c.Request.Body)
+	}
+	h.handler.Serve(ctx, c, w)
+}
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -32,8 +32,11 @@
 	// maxLingerTime bounds how long a connection stays open after its last response while
 	// the caller has not acknowledged the whole response. It is the time that one write of
 	// the response may take.
-	maxLingerTime    = writeTimeout
-	writeBufferBytes = 4 << 10
+	maxLingerTime = writeTimeout
+	// disconnectPollInterval is how often the reader checks for a disconnect of the caller
+	// while it waits for requests in flight and does not read the socket.
+	disconnectPollInterval = 100 * time.Millisecond
+	writeBufferBytes       = 4 << 10
 )
 
 var (
@@ -89,7 +92,7 @@
 	precedingDone := make(chan struct{}) // closed when the preceding response is complete
 	close(precedingDone)
 	allConcurrent := true // all requests in flight may run concurrently
-	slots := make(chan struct{}, maxPipelinedRequests)
+	slots := newSlots()
 	for {
 		call, refusal := c.readRequest()
 		if call == nil && refusal == 0 {
@@ -97,10 +100,10 @@
 		}
 		concurrent := refusal == 0 && call.Request.Body == nil && c.acceptor.options.Concurrent(call.Request)
 		if !allConcurrent || !concurrent {
-			<-precedingDone
+			c.await(precedingDone)
 		}
 		allConcurrent = concurrent
-		slots <- struct{}{}
+		c.await(slots)
 		if !c.startRequest(call) {
 			c.acceptor.droppedRequests.Add(1)
 			c.releaseBody(call)
@@ -110,7 +113,7 @@
 		precedingDone = response.done
 		streamsBody := refusal == 0 && call.Request.Body != nil
 		wg.Go(func() {
-			defer func() { <-slots }()
+			defer func() { slots <- struct{}{} }()
 			c.run(call, response, refusal)
 		})
 		if refusal != 0 {
@@ -118,13 +121,51 @@
 		}
 		// The handler reads a streamed body from the connection, so the next request
 		// can't be read before its end.
-		if streamsBody && !response.waitBodyConsumed() {
+		if streamsBody && !c.awaitBodyConsumed(response) {
 			break
 		}
 	}
 	c.finish(&wg)
 }
 
+// awaitBodyConsumed waits until the response is complete and reports whether the body of the
+// request was read to its end.
+func (c *conn) awaitBodyConsumed(response *ResponseWriter) bool {
+	c.await(response.done)
+	return response.bodyConsumed()
+}
+
+// newSlots returns a channel that holds a value for each request that may start.
+func newSlots() chan struct{} {
+	slots := make(chan struct{}, maxPipelinedRequests)
+	for range maxPipelinedRequests {
+		slots <- struct{}{}
+	}
+	return slots
+}
+
+// await receives from ch, to which a request in flight sends or which it closes. If the caller
+// disconnects meanwhile, it cancels the requests in flight.
+func (c *conn) await(ch <-chan struct{}) {
+	select {
+	case <-ch:
+		return
+	default:
+	}
+	ticker := time.NewTicker(disconnectPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ch:
+			return
+		case <-ticker.C:
+			if peeker.Disconnected(c.raw) {
+				c.cancel(errCallerDisconnected)
+			}
+		}
+	}
+}
+
 // finish waits for the requests in flight and closes a connection from which no further
 // request is read. If the caller disconnected, it cancels these requests first.
 func (c *conn) finish(wg *sync.WaitGroup) {
--- a/internal/connection/acceptor/response.go
+++ b/internal/connection/acceptor/response.go
@@ -94,13 +94,6 @@
 	return w.closesConn
 }
 
-// waitBodyConsumed waits until the response is complete and reports whether the body of
-// the request was read to its end.
-func (w *ResponseWriter) waitBodyConsumed() bool {
-	<-w.done
-	return w.bodyConsumed()
-}
-
 // bodyConsumed reports whether the body of the request was read to its end.
 func (w *ResponseWriter) bodyConsumed() bool {
 	if w.call == nil {
--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -68,3 +68,24 @@
 	})
 	return err == nil && unacknowledged
 }
+
+// Disconnected reports whether the peer has closed the connection or its sending direction, or
+// the connection has failed, also if there is unread data. It returns false for a connection
+// without a file descriptor and on any error.
+func Disconnected(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	disconnected := false
+	err = raw.Control(func(fd uintptr) {
+		// Poll also reports a hangup and an error, which are not requested.
+		n, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 0)
+		disconnected = pollErr == nil && n > 0
+	})
+	return err == nil && disconnected
+}
--- a/internal/connection/peeker/peeker_test.go
+++ b/internal/connection/peeker/peeker_test.go
@@ -88,6 +88,29 @@
 	assert.Assert(t, !peeker.HasUnacknowledged(client))
 }
 
+// Guards against a disconnect that is hidden by unread data, and against unread data that
+// counts as a disconnect.
+func TestDisconnectedWithUnreadData(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	server, err := l.Accept()
+	assert.NilError(t, err)
+	defer server.Close()
+	_, err = io.WriteString(client, "x")
+	assert.NilError(t, err)
+	for peeker.Idle(server) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !peeker.Disconnected(server))
+	assert.NilError(t, client.Close())
+	for !peeker.Disconnected(server) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // zeros is an endless reader.
 type zeros struct{}
 
