Write 100 Continue behind the responses to earlier requests

Callers saw: "100 Continue" in front of or within the response to an earlier request, if a request with Expect followed it before that response was complete.

Cause: the reader wrote the interim response to the socket as soon as it had read the header, whatever the requests in flight had written or buffered.

Fix: the reader waits for the preceding response to complete. The caller sends the body only after the interim response, so nothing is lost by that.

Evidence: TestContinueFollowsEarlierResponses, before: the first response read has no body instead of that of the first request.

--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -444,3 +444,23 @@
 	}
 	h.handler.Serve(ctx, c, w)
 }
+
+// Guards against an interim response in front of or inside of an earlier response.
+func TestContinueFollowsEarlierResponses(t *testing.T) {
+	h := newHandler()
+	_, dial := startAcceptor(t, h)
+	c := dial()
+	send(t, c, "GET /slow/1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n")
+	<-h.received
+	time.Sleep(50 * time.Millisecond)
+	close(h.release)
+	br := bufio.NewReader(c)
+	_, body := readResponse(t, br)
+	assert.Equal(t, body, "/slow/1 ")
+	r, err := http.ReadResponse(br, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, r.StatusCode, http.StatusContinue)
+	send(t, c, "x")
+	_, body = readResponse(t, br)
+	assert.Equal(t, body, "/2 x")
+}
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -55,7 +55,9 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
-	readErr error // why the connection ended while a request was awaited or read
+	// Used by the reader only.
+	readErr       error           // why the connection ended while a request was awaited or read
+	precedingDone <-chan struct{} // closed when the response to the last request read is complete
 
 	mu              sync.Mutex
 	inFlight        int // requests in flight
@@ -72,6 +74,9 @@
 	c.br = bufio.NewReaderSize(raw, c.readBufferBytes)
 	c.bw = bufio.NewWriterSize(raw, writeBufferBytes)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
+	precedingDone := make(chan struct{})
+	close(precedingDone)
+	c.precedingDone = precedingDone
 	return c
 }
 
@@ -89,8 +94,6 @@
 func (c *conn) serve() {
 	defer c.acceptor.remove(c)
 	var wg sync.WaitGroup
-	precedingDone := make(chan struct{}) // closed when the preceding response is complete
-	close(precedingDone)
 	allConcurrent := true // all requests in flight may run concurrently
 	slots := newSlots()
 	for {
@@ -100,7 +103,7 @@
 		}
 		concurrent := refusal == 0 && call.Request.Body == nil && c.acceptor.options.Concurrent(call.Request)
 		if !allConcurrent || !concurrent {
-			c.await(precedingDone)
+			c.await(c.precedingDone)
 		}
 		allConcurrent = concurrent
 		c.await(slots)
@@ -109,8 +112,8 @@
 			c.releaseBody(call)
 			break // a preceding response closes the connection: the request is dropped
 		}
-		response := newResponseWriter(c, call, precedingDone)
-		precedingDone = response.done
+		response := newResponseWriter(c, call, c.precedingDone)
+		c.precedingDone = response.done
 		streamsBody := refusal == 0 && call.Request.Body != nil
 		wg.Go(func() {
 			defer func() { slots <- struct{}{} }()
@@ -343,6 +346,8 @@
 		return nil, http.StatusRequestEntityTooLarge
 	}
 	if r.Header.Get("Expect") != "" {
+		// The response to the preceding request may still be written.
+		c.await(c.precedingDone)
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0
 		}
