Set a write deadline for 100 Continue

Callers saw: a request with Expect, sent on a connection whose last response was over 30 s ago, ended with a closed connection.

Cause: the interim response was written under the write deadline of the last response.

Evidence: TestContinueAfterIdleTime (in virtual time), before: "unexpected EOF" in place of the interim response.

--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -464,3 +465,52 @@
 	_, body = readResponse(t, br)
 	assert.Equal(t, body, "/2 x")
 }
+
+// Guards against an interim response that fails because of the write deadline of an earlier
+// response.
+func TestContinueAfterIdleTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		a := acceptor.New(acceptor.Options{Handler: newHandler()})
+		go func() { _ = a.Serve(l) }()
+		c, server := net.Pipe()
+		l.conns <- server
+		br := bufio.NewReader(c)
+		send(t, c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+		readResponse(t, br)
+		time.Sleep(50 * time.Second)
+		send(t, c, "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n")
+		r, err := http.ReadResponse(br, nil)
+		assert.Check(t, err)
+		if err == nil {
+			assert.Equal(t, r.StatusCode, http.StatusContinue)
+			send(t, c, "x")
+			_, body := readResponse(t, br)
+			assert.Equal(t, body, "/2 x")
+		}
+		_ = c.Close()
+		_ = l.Close()
+	})
+}
+
+// pipeListener accepts the connections that are sent to conns.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error { close(l.closed); return nil }
+
+// Addr implements net.Listener.
+func (*pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -348,6 +348,7 @@
 	if r.Header.Get("Expect") != "" {
 		// The response to the preceding request may still be written.
 		c.await(c.precedingDone)
+		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0
 		}
