Read no request behind one that closes its connection

Callers saw: a request behind one with "Connection: close" (or of HTTP/1.0) on the same connection ran, and the response to the first one did not announce the close. If that response was of unknown length and the caller spoke HTTP/1.0, so that the end of the connection delimits it, the next response became part of its body (MIXED).

Cause: the close that a request asks for was taken into account only when its response was written, and only if no other request was in flight or being read: the same condition that kept pipelined connections open at a stop.

Fix: such a request is the last one that is read, as the one at a stop (RFC 9112, section 9.6).

Evidence: TestNoRequestRunsAfterRequestedClose, before: the first response does not announce the close, for HTTP/1.1 and HTTP/1.0.

--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -514,3 +514,28 @@
 
 // Addr implements net.Listener.
 func (*pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against requests that run although an earlier request asked for the connection to be
+// closed, and whose response follows one that the end of the connection delimits.
+func TestNoRequestRunsAfterRequestedClose(t *testing.T) {
+	for name, text := range map[string]string{
+		"HTTP/1.1": "GET /slow/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n",
+		"HTTP/1.0": "GET /slow/1 HTTP/1.0\r\nHost: a\r\n\r\nGET /2 HTTP/1.0\r\nHost: a\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHandler()
+			_, dial := startAcceptor(t, h)
+			c := dial()
+			send(t, c, text)
+			<-h.received
+			close(h.release)
+			br := bufio.NewReader(c)
+			r, body := readResponse(t, br)
+			assert.Equal(t, body, "/slow/1 ")
+			assert.Assert(t, r.Close)
+			_, err := br.ReadByte()
+			assert.Equal(t, err, io.EOF)
+			assert.Equal(t, h.servedPaths(), "/slow/1")
+		})
+	}
+}
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -207,14 +207,16 @@
 func (c *conn) startRequest(call *Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = call != nil && call.Request.Body == nil && c.requestBuffered()
+	// HTTP/1.0 callers are not told that the connection stays open, so it closes.
+	closeRequested := call != nil && (call.Request.Close || !call.Request.ProtoAtLeast(1, 1))
+	c.reading = call != nil && !closeRequested && call.Request.Body == nil && c.requestBuffered()
 	if c.closing {
 		return false
 	}
 	// While keep-alives are disabled a request is the last one of its connection, unless
 	// another one has already arrived. Otherwise a caller that always has another request
 	// in flight would never get a response that closes the connection.
-	c.closing = c.acceptor.keepAlivesDisabled.Load() && !c.reading
+	c.closing = closeRequested || c.acceptor.keepAlivesDisabled.Load() && !c.reading
 	c.inFlight++
 	if call != nil {
 		c.calls = append(c.calls, call)
