End the reading of a body with its response

A caller that is still sending a long body when it gets the response (a timeout, for example) may have kept its connection open as long as it went on sending, since the read of the body renewed the deadline by which the connection is closed.

Cause: an attempt reads a streamed body in a goroutine of its own, which may outlast the response. It shared the end of the body with the reader of the connection without a lock, and both set the read deadline.

Fix: the body has a lock for its state, and fails further reads once the response is complete.

Evidence: TestBodyEndsWithResponse, before: "race detected during execution of test" (write in timedBody.Read, read in ResponseWriter.bodyConsumed). The long-lived connection was found by reading.

--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -539,3 +539,53 @@
 		})
 	}
 }
+
+// unreadBodyHandler responds while a body is still being read by another goroutine, and sends
+// the error that ends the reads.
+type unreadBodyHandler struct{ readErr chan error }
+
+// Serve implements acceptor.Handler.
+func (h unreadBodyHandler) Serve(_ context.Context, c *acceptor.Call, w *acceptor.ResponseWriter) {
+	begun := make(chan struct{}, 1<<20)
+	go func() {
+		b := make([]byte, 1)
+		for {
+			if _, err := c.Request.Body.Read(b); err != nil {
+				h.readErr <- err
+				return
+			}
+			begun <- struct{}{}
+		}
+	}()
+	<-begun
+	w.Refuse(http.StatusGatewayTimeout, nil)
+}
+
+// Guards against a body that goes on being read after the response to its request, which keeps
+// the connection open as long as its caller sends.
+func TestBodyEndsWithResponse(t *testing.T) {
+	h := unreadBodyHandler{make(chan error, 1)}
+	_, dial := startAcceptor(t, h)
+	c := dial()
+	send(t, c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n")
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				_, _ = io.WriteString(c, "x")
+			}
+		}
+	}()
+	br := bufio.NewReader(c)
+	r, _ := readResponse(t, br)
+	assert.Equal(t, r.StatusCode, http.StatusGatewayTimeout)
+	assert.Assert(t, r.Close)
+	assert.Assert(t, <-h.readErr != io.EOF)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err := br.ReadByte()
+	assert.Equal(t, err, io.EOF)
+}
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -419,26 +419,60 @@
 
 var errTooLarge = errors.New("request body exceeds the limit")
 
-// timedBody reads a body with a bound on its size and a timeout for each read.
+// timedBody reads a body with a bound on its size and a timeout for each read. Another
+// goroutine than that of the response may read it.
 type timedBody struct {
 	c         *conn
 	src       io.ReadCloser
 	remaining int64
-	atEOF     bool
+
+	mu    sync.Mutex
+	atEOF bool
+	ended bool // the response is complete
 }
 
-// Read implements io.Reader. It fails with errTooLarge when the bound is used up.
+// Read implements io.Reader. It fails with errTooLarge when the bound is used up, and with
+// errResponseComplete after the response.
 func (b *timedBody) Read(p []byte) (int, error) {
 	if b.remaining <= 0 {
 		return 0, errTooLarge
 	}
-	_ = b.c.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	if !b.extendDeadline() {
+		return 0, errResponseComplete
+	}
 	n, err := b.src.Read(p)
 	b.remaining -= int64(n)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.atEOF = err == io.EOF
 	return n, err
 }
 
+// extendDeadline sets the deadline of the next read. It reports false after the response, when
+// the deadline belongs to the reader of the connection.
+func (b *timedBody) extendDeadline() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return false
+	}
+	_ = b.c.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	return true
+}
+
+// end makes further reads fail.
+func (b *timedBody) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+}
+
+func (b *timedBody) isAtEOF() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.atEOF
+}
+
 // Close implements io.Closer. It does not read the rest of the body.
 func (*timedBody) Close() error { return nil }
 
@@ -460,3 +494,16 @@
 
 // Close implements io.Closer.
 func (p *prefixedBody) Close() error { return p.rest.Close() }
+
+// streamedBody returns the body that the handler reads from the connection, or nil if there is
+// none.
+func (c *Call) streamedBody() *timedBody {
+	switch b := c.Request.Body.(type) {
+	case *timedBody:
+		return b
+	case *prefixedBody:
+		return b.rest
+	default:
+		return nil
+	}
+}
--- a/internal/connection/acceptor/response.go
+++ b/internal/connection/acceptor/response.go
@@ -99,14 +99,8 @@
 	if w.call == nil {
 		return false
 	}
-	switch b := w.call.Request.Body.(type) {
-	case *timedBody:
-		return b.atEOF
-	case *prefixedBody:
-		return b.rest.atEOF
-	default:
-		return true
-	}
+	body := w.call.streamedBody()
+	return body == nil || body.isAtEOF()
 }
 
 // Write writes a part of the body. The body of a response to a HEAD request is discarded.
@@ -166,6 +160,11 @@
 	defer close(w.done)
 	<-w.precedingDone
 	c := w.c
+	if w.call != nil {
+		if body := w.call.streamedBody(); body != nil {
+			body.end()
+		}
+	}
 	if !w.headerWritten {
 		w.aborted = true
 	}
