Handle SIGHUP from the start of the process

Callers saw: a host that is sent SIGHUP while it starts, for example because its settings change at that moment, ended.

Cause: the signal was registered only after the settings were read and the host was constructed; until then it ends a process by default.

Evidence: TestReloadSignalDuringStartDoesNotEndProcess holds the process while it reads its settings (a FIFO); before: "the process ended: signal: hangup".

--- a/cmd/dandeliontrack/entry.go
+++ b/cmd/dandeliontrack/entry.go
@@ -32,6 +32,9 @@
 
 // Execute runs the host until it has stopped.
 func (c *entryCommand) Execute([]string) error {
+	// Registered first, because by default the signal ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	path := c.Settings
 	if path == "" {
 		path = os.Getenv(platform.SettingsPathEnv)
@@ -56,8 +59,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go watcher.New(path).Run(ctx, hup, func() { reloadSettings(path, host) })
 	return host.Run(ctx)
 }
