Keep a host that is being called out of the idle hosts

Callers saw: nothing. A call that began at the moment at which its host was deleted as idle opened a session that belonged to no known host, and that was open until the process ended.

Cause: the host counted as used only once the call had a session. Between the lookup of the host and that, closeIdleSessions could take it for idle. It now counts as used from the lookup on, under the lock that closeIdleSessions holds.

Evidence: TestHostIsNotIdleWhenCallBegins, before: "p.closeIdle(time.Now()) is true".

--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -277,6 +277,7 @@
 	return reply, nil
 }
 
+// peer returns the host with the address. It is not idle for idleTimeout from then on.
 func (l *Linker) peer(address string) (*peer, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -288,6 +289,9 @@
 		p = &peer{address: address, callSlots: make(chan struct{}, maxStreamsPerHost), dialLock: make(chan struct{}, 1)}
 		l.peers[address] = p
 	}
+	// Set while l.mu is held, so that closeIdleSessions does not delete the host before the
+	// call counts as in flight.
+	p.markUsed()
 	return p, nil
 }
 
--- a/internal/connection/linker/linker_test.go
+++ b/internal/connection/linker/linker_test.go
@@ -205,3 +205,15 @@
 	assert.NilError(t, err)
 	assert.ErrorIs(t, <-reported, syscall.EMFILE)
 }
+
+// Guards against a session that is never closed, because its host is deleted as idle when a
+// call to it begins.
+func TestHostIsNotIdleWhenCallBegins(t *testing.T) {
+	client := host(t, loader.Peer{Plain: true}, echo)
+	p, err := client.peer("127.0.0.1:1")
+	assert.NilError(t, err)
+	p.lastUsed = time.Now().Add(-2 * idleTimeout)
+	_, err = client.peer("127.0.0.1:1")
+	assert.NilError(t, err)
+	assert.Assert(t, !p.closeIdle(time.Now()))
+}
--- a/internal/connection/linker/peer.go
+++ b/internal/connection/linker/peer.go
@@ -97,13 +97,19 @@
 func (p *peer) currentSession() *session {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastUsed = time.Now()
 	if p.session == nil || p.session.mux.IsClosed() {
 		return nil
 	}
 	return p.session
 }
 
+// markUsed makes the host count as used now.
+func (p *peer) markUsed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastUsed = time.Now()
+}
+
 // closeIdle closes the session if the host was not called for idleTimeout, and reports
 // whether that is so.
 func (p *peer) closeIdle(now time.Time) bool {
