Retry after errors of Accept on the auxiliary listeners

Callers saw: nothing in a test. A host whose listener for readiness checks, lookups or metrics failed once with an error that net/http does not retry (no buffer space, a protocol error, a filter rule) ended at once, with all requests in flight. The listeners for callers and for other hosts retry after every error, so the same error ended the process on these only.

Evidence: TestAuxiliaryServerRetriesAfterAcceptError, before: "accept: no buffer space available" from the group whose first error ends the process.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -288,21 +288,26 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: h, ReadHeaderTimeout: auxiliaryHeaderTimeout, IdleTimeout: auxiliaryIdleTimeout}
-		g.Go(func() error {
-			if err := server.Serve(l); err != http.ErrServerClosed {
-				return err
-			}
-			return nil
-		})
-		g.Go(func() error {
-			<-ctx.Done()
-			return server.Close()
-		})
+		c.serveAuxiliary(ctx, g, l, h)
 	}
 	return nil
 }
 
+// serveAuxiliary starts a server for readiness checks, lookups or metrics.
+func (c *Conductor) serveAuxiliary(ctx context.Context, g *errgroup.Group, l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: auxiliaryHeaderTimeout, IdleTimeout: auxiliaryIdleTimeout}
+	g.Go(func() error {
+		if err := server.Serve(&retryingListener{l, c.logAcceptError}); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+}
+
 // startLoops starts the background loops.
 func (c *Conductor) startLoops(ctx context.Context, g *errgroup.Group) {
 	loops := map[string]func(context.Context){
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -91,6 +91,9 @@
 	stopExitMargin = leaveTimeout + 200*time.Millisecond
 
 	acceptErrorLogInterval = time.Second
+	// acceptRetryDelay is the pause after a failed Accept of an auxiliary server, for
+	// example when the process has no file descriptors left.
+	acceptRetryDelay = 20 * time.Millisecond
 	// maxLoggedRequests bounds the requests that are listed when a process ends with
 	// requests in flight.
 	maxLoggedRequests = 64
