Close connections behind the requests in flight at a shutdown

The stop relied on the end of a backlog whose length the caller chooses.

Fix: from the call of Shutdown on, each connection closes behind its next request. Those behind it were not passed on, and their caller is told by the response that closes the connection.

Evidence: TestShutdownClosesBehindRequestsInFlight, before: 100 responses instead of 17.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -119,6 +119,7 @@
 type Acceptor struct {
 	options            Options
 	keepAlivesDisabled atomic.Bool
+	shuttingDown       atomic.Bool
 	activeRequests     atomic.Int64  // requests read whose response is not complete
 	droppedRequests    atomic.Int64  // requests read that did not run
 	acceptEnd          atomic.Int64  // time from which no connection is accepted, in Unix nanoseconds
@@ -224,8 +225,9 @@
 // not run because their connection was closing.
 func (a *Acceptor) DroppedRequests() int64 { return a.droppedRequests.Load() }
 
-// DisableKeepAlives makes every connection close after the response to the last request
-// that was read on it. Idle connections stay open until their next request or Shutdown.
+// DisableKeepAlives makes every connection close after the response to its next request, or
+// to the last of the requests that have arrived together with it. Idle connections stay open
+// until their next request or Shutdown.
 func (a *Acceptor) DisableKeepAlives() { a.keepAlivesDisabled.Store(true) }
 
 // Listener is a listener with a deadline for Accept, which ends Accept without closing
@@ -238,9 +240,11 @@
 // Shutdown stops the Acceptor without dropping requests that callers have sent. It calls
 // DisableKeepAlives, accepts the connections in the accept queue, closes the listener,
 // closes connections that have been idle for a short time, and returns when all
-// connections are closed or ctx is done. Serve returns during the call.
+// connections are closed or ctx is done. From its call on, each connection closes after the
+// response to its next request, whatever has arrived behind it. Serve returns during the call.
 func (a *Acceptor) Shutdown(ctx context.Context, l Listener) {
 	a.DisableKeepAlives()
+	a.shuttingDown.Store(true)
 	now := time.Now()
 	a.acceptEnd.Store(now.Add(maxAcceptDrainTime).UnixNano())
 	// SetDeadline fails only if the listener is already closed.
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -215,7 +215,12 @@
 	}
 	// While keep-alives are disabled a request is the last one of its connection, unless
 	// another one has already arrived. Otherwise a caller that always has another request
-	// in flight would never get a response that closes the connection.
+	// in flight would never get a response that closes the connection. Shutdown does not
+	// wait for the requests that have arrived either, because the buffer may hold more of
+	// them than complete in its time.
+	if c.acceptor.shuttingDown.Load() {
+		c.reading = false
+	}
 	c.closing = closeRequested || c.acceptor.keepAlivesDisabled.Load() && !c.reading
 	c.inFlight++
 	if call != nil {
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -305,3 +305,41 @@
 	assert.Assert(t, r.Close)
 	assert.Equal(t, len(body), longBodyBytes)
 }
+
+// Guards against a shutdown that waits for all requests that a caller has sent ahead, however
+// many they are, instead of those in flight.
+func TestShutdownClosesBehindRequestsInFlight(t *testing.T) {
+	h := newHandler()
+	h.received = make(chan string, 100)
+	a, l, dial := startWithListener(t, h)
+	c := dial()
+	send(t, c, strings.Repeat("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n", cap(h.received)))
+	for range 16 {
+		<-h.received
+	}
+	finished := make(chan struct{})
+	go func() {
+		a.Shutdown(t.Context(), l)
+		close(finished)
+	}()
+	for { // until the listener is closed
+		probe, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			break
+		}
+		_ = probe.Close()
+	}
+	close(h.release)
+	br := bufio.NewReader(c)
+	for i := 1; ; i++ {
+		r, _ := readResponse(t, br)
+		if r.Close {
+			assert.Equal(t, i, 17)
+			break
+		}
+	}
+	_, err := br.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	assert.NilError(t, c.Close())
+	<-finished
+}
