Refuse requests that complete late in a shutdown

Cause: a stop bounded the time in which connections are accepted, but not the time in which the requests that had begun on them may complete. Only a route's timeout, counted from the first byte, prevented it, where that is shorter than the rest of the grace period.

Fix: in the second half of the time that Shutdown has, a request that has been read is refused with status 503, which it can be, because nothing was passed on. Streamed bodies are not affected: their request begins with the header.

Evidence: TestShutdownRefusesRequestThatCompletesLate, before: status 200 instead of 503, for a header and for a body.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -65,6 +65,9 @@
 	// Shutdown closes it. The first request of a caller that has just connected may
 	// still be in transit.
 	minIdleBeforeClose = 200 * time.Millisecond
+	// shutdownReadFraction is the fraction of the time of Shutdown after which a request that
+	// is still being read is refused. The rest is for the requests in flight.
+	shutdownReadFraction = 0.5
 )
 
 func (l Limits) withDefaults() Limits {
@@ -120,6 +123,7 @@
 	options            Options
 	keepAlivesDisabled atomic.Bool
 	shuttingDown       atomic.Bool
+	readEnd            atomic.Int64  // time from which requests that have been read are refused, in Unix nanoseconds, 0 for none
 	activeRequests     atomic.Int64  // requests read whose response is not complete
 	droppedRequests    atomic.Int64  // requests read that did not run
 	acceptEnd          atomic.Int64  // time from which no connection is accepted, in Unix nanoseconds
@@ -241,11 +245,16 @@
 // DisableKeepAlives, accepts the connections in the accept queue, closes the listener,
 // closes connections that have been idle for a short time, and returns when all
 // connections are closed or ctx is done. From its call on, each connection closes after the
-// response to its next request, whatever has arrived behind it. Serve returns during the call.
+// response to its next request, whatever has arrived behind it. A request that has not been read
+// to its end in the first half of the time until the deadline of ctx is refused with status 503.
+// Serve returns during the call.
 func (a *Acceptor) Shutdown(ctx context.Context, l Listener) {
 	a.DisableKeepAlives()
 	a.shuttingDown.Store(true)
 	now := time.Now()
+	if deadline, ok := ctx.Deadline(); ok {
+		a.readEnd.Store(now.Add(time.Duration(shutdownReadFraction * float64(deadline.Sub(now)))).UnixNano())
+	}
 	a.acceptEnd.Store(now.Add(maxAcceptDrainTime).UnixNano())
 	// SetDeadline fails only if the listener is already closed.
 	_ = l.SetDeadline(now.Add(acceptDrainTime))
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -304,7 +304,13 @@
 	if err != nil {
 		return nil, http.StatusBadRequest
 	}
-	return c.readBody(&Call{Request: r, Arrived: arrived}, limits)
+	call, status := c.readBody(&Call{Request: r, Arrived: arrived}, limits)
+	if end := c.acceptor.readEnd.Load(); call != nil && end != 0 && time.Now().UnixNano() >= end {
+		c.acceptor.droppedRequests.Add(1)
+		c.releaseBody(call)
+		return nil, http.StatusServiceUnavailable
+	}
+	return call, status
 }
 
 // awaitRequest sets the deadline for the first byte of the next request, and reports
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -343,3 +343,30 @@
 	assert.NilError(t, c.Close())
 	<-finished
 }
+
+// Guards against a request that completes late in a shutdown and is then cut off while an
+// upstream works on it.
+func TestShutdownRefusesRequestThatCompletesLate(t *testing.T) {
+	for name, text := range map[string]string{
+		"header": "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n",
+		"body":   "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHandler()
+			a, l, dial := startWithListener(t, h)
+			c := dial()
+			br := bufio.NewReader(c)
+			send(t, c, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
+			readResponse(t, br)
+			send(t, c, text[:len(text)-1])
+			ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+			defer cancel()
+			a.Shutdown(ctx, l)
+			send(t, c, text[len(text)-1:])
+			r, _ := readResponse(t, br)
+			assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, r.Close)
+			assert.Equal(t, h.servedPaths(), "/first")
+		})
+	}
+}
