--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -28,8 +28,15 @@
 	// lingerTimeout is how long the connection is drained after its last response.
 	// Closing a socket with unread bytes resets the connection, which could make the
 	// caller lose the response.
-	lingerTimeout    = 500 * time.Millisecond
-	writeBufferBytes = 4 << 10
+	lingerTimeout = 500 * time.Millisecond
+	// maxLingerTime bounds how long a connection stays open after its last response while
+	// the caller has not acknowledged the whole response. It is the time that one write of
+	// the response may take.
+	maxLingerTime = writeTimeout
+	// disconnectPollInterval is how often the reader checks for a disconnect of the caller
+	// while it waits for requests in flight and does not read the socket.
+	disconnectPollInterval = 100 * time.Millisecond
+	writeBufferBytes       = 4 << 10
 )
 
 var (
@@ -48,7 +55,9 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
-	readErr error // why the connection ended while a request was awaited or read
+	// Used by the reader only.
+	readErr       error           // why the connection ended while a request was awaited or read
+	precedingDone <-chan struct{} // closed when the response to the last request read is complete
 
 	mu              sync.Mutex
 	inFlight        int // requests in flight
@@ -65,6 +74,9 @@
 	c.br = bufio.NewReaderSize(raw, c.readBufferBytes)
 	c.bw = bufio.NewWriterSize(raw, writeBufferBytes)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
+	precedingDone := make(chan struct{})
+	close(precedingDone)
+	c.precedingDone = precedingDone
 	return c
 }
 
@@ -82,10 +94,8 @@
 func (c *conn) serve() {
 	defer c.acceptor.remove(c)
 	var wg sync.WaitGroup
-	precedingDone := make(chan struct{}) // closed when the preceding response is complete
-	close(precedingDone)
 	allConcurrent := true // all requests in flight may run concurrently
-	slots := make(chan struct{}, maxPipelinedRequests)
+	slots := newSlots()
 	for {
 		call, refusal := c.readRequest()
 		if call == nil && refusal == 0 {
@@ -93,20 +103,20 @@
 		}
 		concurrent := refusal == 0 && call.Request.Body == nil && c.acceptor.options.Concurrent(call.Request)
 		if !allConcurrent || !concurrent {
-			<-precedingDone
+			c.await(c.precedingDone)
 		}
 		allConcurrent = concurrent
-		slots <- struct{}{}
+		c.await(slots)
 		if !c.startRequest(call) {
 			c.acceptor.droppedRequests.Add(1)
 			c.releaseBody(call)
 			break // a preceding response closes the connection: the request is dropped
 		}
-		response := newResponseWriter(c, call, precedingDone)
-		precedingDone = response.done
+		response := newResponseWriter(c, call, c.precedingDone)
+		c.precedingDone = response.done
 		streamsBody := refusal == 0 && call.Request.Body != nil
 		wg.Go(func() {
-			defer func() { <-slots }()
+			defer func() { slots <- struct{}{} }()
 			c.run(call, response, refusal)
 		})
 		if refusal != 0 {
@@ -114,13 +124,51 @@
 		}
 		// The handler reads a streamed body from the connection, so the next request
 		// can't be read before its end.
-		if streamsBody && !response.waitBodyConsumed() {
+		if streamsBody && !c.awaitBodyConsumed(response) {
 			break
 		}
 	}
 	c.finish(&wg)
 }
 
+// awaitBodyConsumed waits until the response is complete and reports whether the body of the
+// request was read to its end.
+func (c *conn) awaitBodyConsumed(response *ResponseWriter) bool {
+	c.await(response.done)
+	return response.bodyConsumed()
+}
+
+// newSlots returns a channel that holds a value for each request that may start.
+func newSlots() chan struct{} {
+	slots := make(chan struct{}, maxPipelinedRequests)
+	for range maxPipelinedRequests {
+		slots <- struct{}{}
+	}
+	return slots
+}
+
+// await receives from ch, to which a request in flight sends or which it closes. If the caller
+// disconnects meanwhile, it cancels the requests in flight.
+func (c *conn) await(ch <-chan struct{}) {
+	select {
+	case <-ch:
+		return
+	default:
+	}
+	ticker := time.NewTicker(disconnectPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ch:
+			return
+		case <-ticker.C:
+			if peeker.Disconnected(c.raw) {
+				c.cancel(errCallerDisconnected)
+			}
+		}
+	}
+}
+
 // finish waits for the requests in flight and closes a connection from which no further
 // request is read. If the caller disconnected, it cancels these requests first.
 func (c *conn) finish(wg *sync.WaitGroup) {
@@ -159,14 +207,21 @@
 func (c *conn) startRequest(call *Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = call != nil && call.Request.Body == nil && c.requestBuffered()
+	// HTTP/1.0 callers are not told that the connection stays open, so it closes.
+	closeRequested := call != nil && (call.Request.Close || !call.Request.ProtoAtLeast(1, 1))
+	c.reading = call != nil && !closeRequested && call.Request.Body == nil && c.requestBuffered()
 	if c.closing {
 		return false
 	}
 	// While keep-alives are disabled a request is the last one of its connection, unless
 	// another one has already arrived. Otherwise a caller that always has another request
-	// in flight would never get a response that closes the connection.
-	c.closing = c.acceptor.keepAlivesDisabled.Load() && !c.reading
+	// in flight would never get a response that closes the connection. Shutdown does not
+	// wait for the requests that have arrived either, because the buffer may hold more of
+	// them than complete in its time.
+	if c.acceptor.shuttingDown.Load() {
+		c.reading = false
+	}
+	c.closing = closeRequested || c.acceptor.keepAlivesDisabled.Load() && !c.reading
 	c.inFlight++
 	if call != nil {
 		c.calls = append(c.calls, call)
@@ -249,7 +304,13 @@
 	if err != nil {
 		return nil, http.StatusBadRequest
 	}
-	return c.readBody(&Call{Request: r, Arrived: arrived}, limits)
+	call, status := c.readBody(&Call{Request: r, Arrived: arrived}, limits)
+	if end := c.acceptor.readEnd.Load(); call != nil && end != 0 && time.Now().UnixNano() >= end {
+		c.acceptor.droppedRequests.Add(1)
+		c.releaseBody(call)
+		return nil, http.StatusServiceUnavailable
+	}
+	return call, status
 }
 
 // awaitRequest sets the deadline for the first byte of the next request, and reports
@@ -298,6 +359,9 @@
 		return nil, http.StatusRequestEntityTooLarge
 	}
 	if r.Header.Get("Expect") != "" {
+		// The response to the preceding request may still be written.
+		c.await(c.precedingDone)
+		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0
 		}
@@ -350,37 +414,76 @@
 }
 
 // linger half-closes the connection after its last response and discards what the caller
-// still sends, for up to lingerTimeout.
+// still sends, for lingerTimeout and until the caller has acknowledged the response.
 func (c *conn) linger() {
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.raw)
+	for end := time.Now().Add(maxLingerTime); time.Now().Before(end); {
+		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, err := io.Copy(io.Discard, c.raw)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !peeker.HasUnacknowledged(c.raw) {
+			return
+		}
+	}
 }
 
 var errTooLarge = errors.New("request body exceeds the limit")
 
-// timedBody reads a body with a bound on its size and a timeout for each read.
+// timedBody reads a body with a bound on its size and a timeout for each read. Another
+// goroutine than that of the response may read it.
 type timedBody struct {
 	c         *conn
 	src       io.ReadCloser
 	remaining int64
-	atEOF     bool
+
+	mu    sync.Mutex
+	atEOF bool
+	ended bool // the response is complete
 }
 
-// Read implements io.Reader. It fails with errTooLarge when the bound is used up.
+// Read implements io.Reader. It fails with errTooLarge when the bound is used up, and with
+// errResponseComplete after the response.
 func (b *timedBody) Read(p []byte) (int, error) {
 	if b.remaining <= 0 {
 		return 0, errTooLarge
 	}
-	_ = b.c.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	if !b.extendDeadline() {
+		return 0, errResponseComplete
+	}
 	n, err := b.src.Read(p)
 	b.remaining -= int64(n)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.atEOF = err == io.EOF
 	return n, err
 }
 
+// extendDeadline sets the deadline of the next read. It reports false after the response, when
+// the deadline belongs to the reader of the connection.
+func (b *timedBody) extendDeadline() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return false
+	}
+	_ = b.c.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	return true
+}
+
+// end makes further reads fail.
+func (b *timedBody) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+}
+
+func (b *timedBody) isAtEOF() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.atEOF
+}
+
 // Close implements io.Closer. It does not read the rest of the body.
 func (*timedBody) Close() error { return nil }
 
@@ -402,3 +505,16 @@
 
 // Close implements io.Closer.
 func (p *prefixedBody) Close() error { return p.rest.Close() }
+
+// streamedBody returns the body that the handler reads from the connection, or nil if there is
+// none.
+func (c *Call) streamedBody() *timedBody {
+	switch b := c.Request.Body.(type) {
+	case *timedBody:
+		return b
+	case *prefixedBody:
+		return b.rest
+	default:
+		return nil
+	}
+}
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -289,3 +289,84 @@
 	}
 	assert.ErrorContains(t, err, "EOF")
 }
+
+// Guards against a caller that loses the end of its last response because it reads slowly and
+// still sends requests when the connection is closed.
+func TestClosePreservesResponseOfSlowReader(t *testing.T) {
+	h := abortingHandler{make(chan struct{}, 1)}
+	a, _, c := startHooked(t, h, nil)
+	a.DisableKeepAlives()
+	for range 20 {
+		// An error would show in the response.
+		_, _ = io.WriteString(c, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+	}
+	r, body := readResponse(t, bufio.NewReader(c))
+	assert.Assert(t, r.Close)
+	assert.Equal(t, len(body), longBodyBytes)
+}
+
+// Guards against a shutdown that waits for all requests that a caller has sent ahead, however
+// many they are, instead of those in flight.
+func TestShutdownClosesBehindRequestsInFlight(t *testing.T) {
+	h := newHandler()
+	h.received = make(chan string, 100)
+	a, l, dial := startWithListener(t, h)
+	c := dial()
+	send(t, c, strings.Repeat("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n", cap(h.received)))
+	for range 16 {
+		<-h.received
+	}
+	finished := make(chan struct{})
+	go func() {
+		a.Shutdown(t.Context(), l)
+		close(finished)
+	}()
+	for { // until the listener is closed
+		probe, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			break
+		}
+		_ = probe.Close()
+	}
+	close(h.release)
+	br := bufio.NewReader(c)
+	for i := 1; ; i++ {
+		r, _ := readResponse(t, br)
+		if r.Close {
+			assert.Equal(t, i, 17)
+			break
+		}
+	}
+	_, err := br.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	assert.NilError(t, c.Close())
+	<-finished
+}
+
+// Guards against a request that completes late in a shutdown and is then cut off while an
+// upstream works on it.
+func TestShutdownRefusesRequestThatCompletesLate(t *testing.T) {
+	for name, text := range map[string]string{
+		"header": "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n",
+		"body":   "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHandler()
+			a, l, dial := startWithListener(t, h)
+			c := dial()
+			br := bufio.NewReader(c)
+			send(t, c, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
+			readResponse(t, br)
+			send(t, c, text[:len(text)-1])
+			ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+			defer cancel()
+			a.Shutdown(ctx, l)
+			send(t, c, text[len(text)-1:])
+			r, _ := readResponse(t, br)
+			assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, r.Close)
+			assert.Equal(t, h.servedPaths(), "/first")
+		})
+	}
+}
