Split the connection of the acceptor by reading, bodies and closing

One name for what interrupts the reader, and a field name that says when the next request counts as begun. Test listeners have one purpose each. The stop signal is handled until the log is written: a further signal no longer loses its last lines. No other behavior changes.

--- a/cmd/dandeliontrack/entry.go
+++ b/cmd/dandeliontrack/entry.go
@@ -51,14 +51,14 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(softMemoryLimitFraction * float64(s.MemoryLimit)))
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop() // after the log is written, since a further signal ends the process then
 	out := logger.NewBuffer(os.Stdout)
 	defer out.Close()
 	host, err := conductor.New(s, platform.New(store, new(net.Dialer).DialContext), logger.New(out, level, s.Name))
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	go watcher.New(path).Run(ctx, hup, func() { reloadSettings(path, host) })
 	return host.Run(ctx)
 }
--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -9,7 +9,7 @@
 //
 //	a := acceptor.New(acceptor.Options{Handler: h})
 //	go a.Serve(listener)
-//	a.DisableKeepAlives() // each connection closes after its next response
+//	a.DisableKeepAlives() // each connection closes after its next request
 //	a.Shutdown(ctx, listener)
 package acceptor
 
@@ -27,8 +27,8 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 )
 
-// ShutdownAcceptWindow is how long after the call of Shutdown a new request may still be
-// accepted.
+// ShutdownAcceptWindow is how long Shutdown accepts requests if the accept queue is empty
+// after acceptDrainTime. Otherwise it is up to maxAcceptDrainTime longer.
 const ShutdownAcceptWindow = acceptDrainTime + minIdleBeforeClose + idlePollInterval
 
 // Limits bounds what a caller may send.
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -19,26 +17,13 @@
 const (
 	// maxPipelinedRequests bounds the requests in flight on one connection.
 	maxPipelinedRequests = 16
-	// maxBufferedBodyBytes is the size up to which a body is buffered before its request
-	// runs, so that the request can be retried and a slow caller does not occupy an
-	// upstream.
-	maxBufferedBodyBytes = 1 << 20
-	// bodyReadTimeout bounds the time of one read of a body.
-	bodyReadTimeout = 10 * time.Second
-	// lingerTimeout is how long the connection is drained after its last response.
-	// Closing a socket with unread bytes resets the connection, which could make the
-	// caller lose the response.
-	lingerTimeout = 500 * time.Millisecond
-	// maxLingerTime bounds how long a connection stays open after its last response while
-	// the caller has not acknowledged the whole response. It is the time that one write of
-	// the response may take.
-	maxLingerTime = writeTimeout
 	// disconnectPollInterval is how often the reader checks for a disconnect of the caller
 	// while it waits for requests in flight and does not read the socket.
 	disconnectPollInterval = 100 * time.Millisecond
 	writeBufferBytes       = 4 << 10
 )
 
+// Causes for which the contexts of requests are canceled.
 var (
 	errCallerDisconnected = errors.New("caller disconnected")
 	errResponseComplete   = errors.New("response is complete")
@@ -62,7 +47,7 @@
 	mu              sync.Mutex
 	inFlight        int // requests in flight
 	calls           []*Call
-	reading         bool // a request is being read or is in the buffer
+	nextArrived     bool // the next request has begun to arrive and is to be served
 	closing         bool // no further request is read
 	readBufferBytes int
 	lastActive      time.Time // when the connection was accepted or its last response completed
@@ -85,8 +70,8 @@
 func (c *conn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inFlight == 0 && !c.reading && now.Sub(c.lastActive) >= minIdleBeforeClose && peeker.Idle(c.raw) {
-		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	if c.inFlight == 0 && !c.nextArrived && now.Sub(c.lastActive) >= minIdleBeforeClose && peeker.Idle(c.raw) {
+		c.interruptReader()
 	}
 }
 
@@ -169,38 +154,6 @@
 	}
 }
 
-// finish waits for the requests in flight and closes a connection from which no further
-// request is read. If the caller disconnected, it cancels these requests first.
-func (c *conn) finish(wg *sync.WaitGroup) {
-	if c.isClosing() {
-		c.discardUntilDone(wg)
-	} else {
-		c.cancel(cmp.Or(c.readErr, errCallerDisconnected))
-		wg.Wait()
-	}
-	c.cancel(errResponseComplete)
-	if c.isClosing() {
-		c.linger()
-	}
-	_ = c.raw.Close()
-}
-
-// discardUntilDone waits for the requests in flight, discards what the caller still sends,
-// and cancels the requests if the caller disconnects.
-func (c *conn) discardUntilDone(wg *sync.WaitGroup) {
-	_ = c.raw.SetReadDeadline(time.Time{})
-	discarded := make(chan struct{})
-	go func() {
-		defer close(discarded)
-		if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.cancel(cmp.Or(err, errCallerDisconnected))
-		}
-	}()
-	wg.Wait()
-	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
-	<-discarded
-}
-
 // startRequest counts a request as in flight and decides whether it is the last one that is
 // read. It reports false if the connection is closing, in which case the request must not
 // run.
@@ -209,7 +162,7 @@
 	defer c.mu.Unlock()
 	// HTTP/1.0 callers are not told that the connection stays open, so it closes.
 	closeRequested := call != nil && (call.Request.Close || !call.Request.ProtoAtLeast(1, 1))
-	c.reading = call != nil && !closeRequested && call.Request.Body == nil && c.requestBuffered()
+	c.nextArrived = call != nil && !closeRequested && call.Request.Body == nil && c.requestBuffered()
 	if c.closing {
 		return false
 	}
@@ -219,9 +172,9 @@
 	// wait for the requests that have arrived either, because the buffer may hold more of
 	// them than complete in its time.
 	if c.acceptor.shuttingDown.Load() {
-		c.reading = false
+		c.nextArrived = false
 	}
-	c.closing = closeRequested || c.acceptor.keepAlivesDisabled.Load() && !c.reading
+	c.closing = closeRequested || c.acceptor.keepAlivesDisabled.Load() && !c.nextArrived
 	c.inFlight++
 	if call != nil {
 		c.calls = append(c.calls, call)
@@ -286,7 +239,7 @@
 		c.acceptor.droppedRequests.Add(1)
 		return nil, 0
 	}
-	c.reading = true
+	c.nextArrived = true
 	c.mu.Unlock()
 	_ = c.raw.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	head, status, err := peekHeader(c.br, min(limits.HeaderBytes, c.readBufferBytes))
@@ -346,175 +299,3 @@
 	defer c.mu.Unlock()
 	return c.closing
 }
-
-// readBody buffers a short body and sets up a long one to be streamed by the handler. A
-// body is also streamed if the memory for buffered bodies is used up.
-func (c *conn) readBody(call *Call, limits Limits) (*Call, int) {
-	r := call.Request
-	if r.ContentLength == 0 {
-		r.Body = nil
-		return call, 0
-	}
-	if r.ContentLength > limits.BodyBytes {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	if r.Header.Get("Expect") != "" {
-		// The response to the preceding request may still be written.
-		c.await(c.precedingDone)
-		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, 0
-		}
-		r.Header.Del("Expect")
-	}
-	body := &timedBody{c: c, src: r.Body, remaining: limits.BodyBytes}
-	if r.ContentLength > maxBufferedBodyBytes {
-		r.Body = body
-		return call, 0
-	}
-	var b bytes.Buffer
-	reserved, whole, err := c.acceptor.options.Memory.ReadBody(&b, body, r.ContentLength, maxBufferedBodyBytes)
-	call.reservedBytes = reserved
-	if err != nil {
-		c.acceptor.options.Memory.Release(reserved)
-	}
-	switch {
-	case errors.Is(err, errTooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, http.StatusRequestTimeout
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		c.readErr = err
-		return nil, 0
-	case err != nil:
-		return nil, http.StatusBadRequest
-	case !whole:
-		r.Body = &prefixedBody{prefix: b.Bytes(), rest: body}
-		return call, 0
-	}
-	call.Body, r.Body = b.Bytes(), nil
-	return call, 0
-}
-
-// abort ends the connection after an incomplete response and cancels the requests behind it.
-// The end of the connection is visible to the caller as the end of a response only if the
-// response is delimited by it, so that one is reset. A reset would also discard complete
-// responses that have not been transmitted yet.
-func (c *conn) abort(closeDelimited bool) {
-	c.cancel(errResponseAborted)
-	tcp, ok := c.raw.(*net.TCPConn)
-	if !ok || closeDelimited || tcp.CloseWrite() != nil {
-		if ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.raw.Close()
-		return
-	}
-	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
-}
-
-// linger half-closes the connection after its last response and discards what the caller
-// still sends, for lingerTimeout and until the caller has acknowledged the response.
-func (c *conn) linger() {
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	for end := time.Now().Add(maxLingerTime); time.Now().Before(end); {
-		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, err := io.Copy(io.Discard, c.raw)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !peeker.HasUnacknowledged(c.raw) {
-			return
-		}
-	}
-}
-
-var errTooLarge = errors.New("request body exceeds the limit")
-
-// timedBody reads a body with a bound on its size and a timeout for each read. Another
-// goroutine than that of the response may read it.
-type timedBody struct {
-	c         *conn
-	src       io.ReadCloser
-	remaining int64
-
-	mu    sync.Mutex
-	atEOF bool
-	ended bool // the response is complete
-}
-
-// Read implements io.Reader. It fails with errTooLarge when the bound is used up, and with
-// errResponseComplete after the response.
-func (b *timedBody) Read(p []byte) (int, error) {
-	if b.remaining <= 0 {
-		return 0, errTooLarge
-	}
-	if !b.extendDeadline() {
-		return 0, errResponseComplete
-	}
-	n, err := b.src.Read(p)
-	b.remaining -= int64(n)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.atEOF = err == io.EOF
-	return n, err
-}
-
-// extendDeadline sets the deadline of the next read. It reports false after the response, when
-// the deadline belongs to the reader of the connection.
-func (b *timedBody) extendDeadline() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.ended {
-		return false
-	}
-	_ = b.c.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	return true
-}
-
-// end makes further reads fail.
-func (b *timedBody) end() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ended = true
-}
-
-func (b *timedBody) isAtEOF() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.atEOF
-}
-
-// Close implements io.Closer. It does not read the rest of the body.
-func (*timedBody) Close() error { return nil }
-
-// prefixedBody is a body whose beginning has been read into prefix.
-type prefixedBody struct {
-	prefix []byte
-	rest   *timedBody
-}
-
-// Read implements io.Reader.
-func (p *prefixedBody) Read(b []byte) (int, error) {
-	if len(p.prefix) > 0 {
-		n := copy(b, p.prefix)
-		p.prefix = p.prefix[n:]
-		return n, nil
-	}
-	return p.rest.Read(b)
-}
-
-// Close implements io.Closer.
-func (p *prefixedBody) Close() error { return p.rest.Close() }
-
-// streamedBody returns the body that the handler reads from the connection, or nil if there is
-// none.
-func (c *Call) streamedBody() *timedBody {
-	switch b := c.Request.Body.(type) {
-	case *timedBody:
-		return b
-	case *prefixedBody:
-		return b.rest
-	default:
-		return nil
-	}
-}
--- a/internal/connection/acceptor/response.go
+++ b/internal/connection/acceptor/response.go
@@ -86,7 +86,7 @@
 	c := w.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	lastInFlight := c.inFlight == 1 && !c.reading
+	lastInFlight := c.inFlight == 1 && !c.nextArrived
 	closeRequested := w.call == nil || w.call.Request.Close || !w.bodyConsumed() || c.closing
 	if lastInFlight && (closeRequested || c.acceptor.keepAlivesDisabled.Load()) {
 		c.closing, w.closesConn = true, true
@@ -186,7 +186,7 @@
 	if w.aborted || w.closesConn {
 		c.closing = true
 	}
-	if c.inFlight == 0 && !c.reading && !c.closing {
+	if c.inFlight == 0 && !c.nextArrived && !c.closing {
 		_ = c.raw.SetReadDeadline(time.Now().Add(c.acceptor.options.Limits().withDefaults().IdleTimeout))
 	}
 	c.mu.Unlock()
@@ -194,6 +194,6 @@
 	case w.aborted:
 		c.abort(w.bytesLeft < 0 && w.chunkWriter == nil)
 	case interruptRead:
-		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+		c.interruptReader()
 	}
 }
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -71,8 +71,7 @@
 }
 
 // hookedListener accepts connections whose reads go through onRead, which gets the number
-// of the read and a function that performs it. Without onRead it accepts connections whose
-// send buffer holds a long response.
+// of the read and a function that performs it.
 type hookedListener struct {
 	*net.TCPListener
 	onRead func(i int, read func() (int, error)) (int, error)
@@ -90,9 +89,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if l.onRead == nil {
-		return raw, raw.SetWriteBuffer(2 * longBodyBytes)
-	}
 	return &hookedConn{TCPConn: raw, l: l}, nil
 }
 
@@ -102,33 +98,50 @@
 	return c.l.onRead(c.reads, func() (int, error) { return c.TCPConn.Read(p) })
 }
 
-// startHooked starts an acceptor and returns it with its listener and a connection.
-func startHooked(t *testing.T, h acceptor.Handler, onRead func(i int, read func() (int, error)) (int, error)) (*acceptor.Acceptor, acceptor.Listener, net.Conn) {
+// bufferedListener accepts connections whose send buffer holds a long response.
+type bufferedListener struct{ *net.TCPListener }
+
+// Accept implements net.Listener.
+func (l bufferedListener) Accept() (net.Conn, error) {
+	raw, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return raw, raw.SetWriteBuffer(2 * longBodyBytes)
+}
+
+func listen(t *testing.T) *net.TCPListener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	hooked := &hookedListener{TCPListener: l.(*net.TCPListener), onRead: onRead}
+	return l.(*net.TCPListener)
+}
+
+// serveOn starts an acceptor on a listener and returns it with a connection.
+func serveOn(t *testing.T, l net.Listener, h acceptor.Handler) (*acceptor.Acceptor, net.Conn) {
+	t.Helper()
 	a := acceptor.New(acceptor.Options{Handler: h})
-	go func() { _ = a.Serve(hooked) }()
+	go func() { _ = a.Serve(l) }()
 	c, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
-	return a, hooked, c
+	return a, c
 }
 
 // Guards against a shutdown that closes a connection as idle while a request has been read
 // from its socket and is not counted yet.
 func TestShutdownServesRequestThatHasJustBeenRead(t *testing.T) {
 	consumed, release := make(chan struct{}), make(chan struct{})
-	a, l, c := startHooked(t, newHandler(), func(i int, read func() (int, error)) (int, error) {
+	l := &hookedListener{listen(t), func(i int, read func() (int, error)) (int, error) {
 		n, err := read()
 		if i == 2 {
 			close(consumed)
 			<-release
 		}
 		return n, err
-	})
+	}}
+	a, c := serveOn(t, l, newHandler())
 	br := bufio.NewReader(c)
 	send(t, c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
 	readResponse(t, br)
@@ -151,13 +164,14 @@
 // example while the process was paused.
 func TestIdleTimeoutServesRequestThatHasArrived(t *testing.T) {
 	arrived := make(chan struct{})
-	_, _, c := startHooked(t, newHandler(), func(i int, read func() (int, error)) (int, error) {
+	l := &hookedListener{listen(t), func(i int, read func() (int, error)) (int, error) {
 		if i == 2 {
 			<-arrived
 			return 0, os.ErrDeadlineExceeded
 		}
 		return read()
-	})
+	}}
+	_, c := serveOn(t, l, newHandler())
 	br := bufio.NewReader(c)
 	for _, path := range []string{"/1", "/2", "/3"} {
 		send(t, c, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -273,7 +287,7 @@
 // the connection is reset while these wait in its send buffer.
 func TestAbortKeepsEarlierResponses(t *testing.T) {
 	h := abortingHandler{make(chan struct{}, 2)}
-	a, _, c := startHooked(t, h, nil)
+	a, c := serveOn(t, bufferedListener{listen(t)}, h)
 	send(t, c, "GET /long HTTP/1.1\r\nHost: a\r\n\r\nGET /abort HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-h.received
 	<-h.received
@@ -294,7 +308,7 @@
 // still sends requests when the connection is closed.
 func TestClosePreservesResponseOfSlowReader(t *testing.T) {
 	h := abortingHandler{make(chan struct{}, 1)}
-	a, _, c := startHooked(t, h, nil)
+	a, c := serveOn(t, bufferedListener{listen(t)}, h)
 	a.DisableKeepAlives()
 	for range 20 {
 		// An error would show in the response.
