--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -11,69 +11,50 @@
 // Idle reports whether the connection is open and has no unread data. It returns true for
 // a connection without a file descriptor, such as a net.Pipe, and false on any error.
 func Idle(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
+	if _, ok := c.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	// Control is used because RawConn.Read fails once the read deadline has passed, as
-	// that of the last request on the connection may have.
-	err = raw.Control(func(fd uintptr) {
+	return examine(c, func(fd int) bool {
 		var b [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = recvErr == syscall.EAGAIN
+		_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err == syscall.EAGAIN
 	})
-	return err == nil && idle
 }
 
 // Readable reports whether a read of the socket, or Accept if it is a listener, would return
 // at once. It returns false for a value without a file descriptor and on any error.
 func Readable(socket any) bool {
-	sc, ok := socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	readable := false
-	err = raw.Control(func(fd uintptr) {
-		n, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		readable = pollErr == nil && n > 0
-	})
-	return err == nil && readable
+	return examine(socket, func(fd int) bool { return poll(fd, unix.POLLIN) })
 }
 
 // HasUnacknowledged reports whether the peer has not acknowledged all that was written to the
 // connection, including its end. It returns false for a connection without a file descriptor
 // and on any error.
 func HasUnacknowledged(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unacknowledged := false
-	err = raw.Control(func(fd uintptr) {
-		n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		unacknowledged = ioctlErr == nil && n > 0
+	return examine(c, func(fd int) bool {
+		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err == nil && n > 0
 	})
-	return err == nil && unacknowledged
 }
 
 // Disconnected reports whether the peer has closed the connection or its sending direction, or
 // the connection has failed, also if there is unread data. It returns false for a connection
 // without a file descriptor and on any error.
 func Disconnected(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
+	// Poll also reports a hangup and an error, which are not requested.
+	return examine(c, func(fd int) bool { return poll(fd, unix.POLLRDHUP) })
+}
+
+func poll(fd int, events int16) bool {
+	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: events}}, 0)
+	return err == nil && n > 0
+}
+
+// examine returns the result of f for the file descriptor of the socket, and false if there
+// is none. Control is used because RawConn.Read fails once the read deadline has passed, as
+// that of the last request on a connection may have.
+func examine(socket any, f func(fd int) bool) bool {
+	sc, ok := socket.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -81,11 +62,7 @@
 	if err != nil {
 		return false
 	}
-	disconnected := false
-	err = raw.Control(func(fd uintptr) {
-		// Poll also reports a hangup and an error, which are not requested.
-		n, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 0)
-		disconnected = pollErr == nil && n > 0
-	})
-	return err == nil && disconnected
+	result := false
+	err = raw.Control(func(fd uintptr) { result = f(int(fd)) })
+	return err == nil && result
 }
