Retry failed Accepts in one place

The acceptor, the linker and the side listeners of entry each had their own copy. The package listener has it now, with a bound on reports, and serve uses it as well: its listeners ended the process after errors that net/http does not retry.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/listener"
 	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 )
@@ -49,9 +50,6 @@
 	// maxHeaderBytes bounds the configurable header size, and with it the memory of a
 	// connection.
 	maxHeaderBytes = 1 << 20
-	// acceptRetryDelay is the pause after a failed Accept, for example when the process
-	// has no file descriptors left.
-	acceptRetryDelay = 20 * time.Millisecond
 	// acceptDrainTime is how long Shutdown goes on accepting connections, in order to
 	// empty the accept queue of the listener.
 	acceptDrainTime = 50 * time.Millisecond
@@ -114,7 +112,8 @@
 	// Guard runs f, recovers a panic and reports whether there was one. Place names f
 	// in logs. Nil means that panics are not recovered.
 	Guard func(place string, f func()) bool
-	// AcceptFailed is called with each error of Accept that is retried. It may be nil.
+	// AcceptFailed is called with errors of Accept that are retried, at most once per
+	// second. It may be nil.
 	AcceptFailed func(error)
 }
 
@@ -159,21 +158,15 @@
 // returns nil. Other errors of Accept are retried.
 func (a *Acceptor) Serve(l net.Listener) error {
 	defer a.acceptDoneOnce.Do(func() { close(a.acceptDone) })
+	retrying := listener.New(l, a.options.AcceptFailed)
 	for {
-		raw, err := l.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return nil
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			if !a.extendAccept(l) {
-				return nil
-			}
-			continue
-		case err != nil:
-			a.options.AcceptFailed(err)
-			time.Sleep(acceptRetryDelay)
+		raw, err := retrying.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) && a.extendAccept(l) {
 			continue
 		}
+		if err != nil {
+			return nil
+		}
 		c := newConn(a, raw)
 		a.mu.Lock()
 		a.conns[c] = struct{}{}
--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"sync"
@@ -13,9 +12,9 @@
 	"github.com/hashicorp/yamux"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+	"dandeliontrack.example/dandeliontrack/internal/connection/listener"
 	"dandeliontrack.example/dandeliontrack/internal/process/loader"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
-	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -28,9 +27,6 @@
 	idleTimeout       = time.Minute
 	minBackoff        = 100 * time.Millisecond
 	maxBackoff        = 10 * time.Second
-	// acceptRetryDelay is the pause after a failed Accept, for example when the process has
-	// no file descriptors left.
-	acceptRetryDelay = 20 * time.Millisecond
 	// maxStreamsPerHost bounds the concurrent calls to one host, maxServedStreams the
 	// requests of all hosts served concurrently, and maxAcceptedSessions the sessions
 	// opened by other hosts.
@@ -106,8 +102,8 @@
 // whether there was one. It must be called before Serve.
 func (l *Linker) UseGuard(g func(place string, f func()) bool) { l.guard = g }
 
-// OnAcceptError makes the Linker call report with each error of Accept that is retried. It
-// must be called before Serve.
+// OnAcceptError makes the Linker call report with errors of Accept that are retried, at most
+// once per second. It must be called before Serve.
 func (l *Linker) OnAcceptError(report func(error)) { l.acceptFailed = report }
 
 func yamuxConfig() *yamux.Config {
@@ -125,24 +121,20 @@
 // Serve accepts and serves sessions of other hosts. It returns nil after Close, and an
 // error of kind Internal if the listener was closed otherwise. Other errors of Accept are
 // retried.
-func (l *Linker) Serve(listener net.Listener) error {
-	stop := context.AfterFunc(l.ctx, func() { _ = listener.Close() })
+func (l *Linker) Serve(hosts net.Listener) error {
+	stop := context.AfterFunc(l.ctx, func() { _ = hosts.Close() })
 	defer stop()
+	retrying := listener.New(hosts, l.acceptFailed)
 	for {
-		conn, err := listener.Accept()
+		conn, err := retrying.Accept()
 		if l.ctx.Err() != nil {
 			if err == nil {
 				_ = conn.Close()
 			}
 			return nil
 		}
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		if err != nil {
 			return classifier.Internal.Wrap(err, "accept host")
-		case err != nil:
-			l.acceptFailed(err)
-			sleeper.Sleep(l.ctx, acceptRetryDelay)
-			continue
 		}
 		select {
 		case l.sessionSlots <- struct{}{}:
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -17,6 +17,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/connection/linker"
+	"dandeliontrack.example/dandeliontrack/internal/connection/listener"
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
@@ -139,8 +140,6 @@
 	syncCount       int          // calls of syncPartner; used by one goroutine
 	dialTimes       sync.Map     // time that a connection to a host took, by address
 
-	acceptErrorLogged atomic.Int64 // time of the last logged error, in nanoseconds since started
-
 	lookupTTL       atomic.Int64 // in nanoseconds
 	stopGracePeriod atomic.Int64 // in nanoseconds
 
@@ -297,7 +296,7 @@
 func (c *Conductor) serveAuxiliary(ctx context.Context, g *errgroup.Group, l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: auxiliaryHeaderTimeout, IdleTimeout: auxiliaryIdleTimeout}
 	g.Go(func() error {
-		if err := server.Serve(&retryingListener{l, c.logAcceptError}); err != http.ErrServerClosed {
+		if err := server.Serve(listener.New(l, c.logAcceptError)); err != http.ErrServerClosed {
 			return err
 		}
 		return nil
@@ -400,17 +399,8 @@
 	c.gossiper.Leave(leaveCtx)
 }
 
-// logAcceptError logs that a listener could not accept a connection, at most once per
-// acceptErrorLogInterval.
-func (c *Conductor) logAcceptError(err error) {
-	now := int64(time.Since(c.started))
-	last := c.acceptErrorLogged.Load()
-	if last == 0 || now-last >= int64(acceptErrorLogInterval) {
-		if c.acceptErrorLogged.CompareAndSwap(last, now) {
-			c.log.Event(logger.AcceptFailed).Err(err).Send()
-		}
-	}
-}
+// logAcceptError logs that a listener could not accept a connection.
+func (c *Conductor) logAcceptError(err error) { c.log.Event(logger.AcceptFailed).Err(err).Send() }
 
 // logAborted logs that the process ends with count requests in flight.
 func (c *Conductor) logAborted(count int) {
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -90,10 +90,6 @@
 	// membership and ending the process; the latter takes about 0.1 s on a slow host.
 	stopExitMargin = leaveTimeout + 200*time.Millisecond
 
-	acceptErrorLogInterval = time.Second
-	// acceptRetryDelay is the pause after a failed Accept of an auxiliary server, for
-	// example when the process has no file descriptors left.
-	acceptRetryDelay = 20 * time.Millisecond
 	// maxLoggedRequests bounds the requests that are listed when a process ends with
 	// requests in flight.
 	maxLoggedRequests = 64
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/listener"
 	"dandeliontrack.example/dandeliontrack/internal/process/drainer"
 	"dandeliontrack.example/dandeliontrack/internal/process/loader"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
@@ -139,7 +140,7 @@
 			}
 			return nil, classifier.Invalid.Wrap(err, "listen")
 		}
-		out = append(out, l)
+		out = append(out, listener.New(l, func(err error) { r.log.Event(logger.AcceptFailed).Err(err).Send() }))
 	}
 	return out, nil
 }
