--- a/internal/process/conductor/pause_internal_test.go
+++ b/internal/process/conductor/pause_internal_test.go
@@ -28,8 +28,8 @@
 // discardWatcher is a follower.Watcher that ignores all calls.
 type discardWatcher struct{}
 
-func (discardWatcher) RowsChanged(string, []follower.Row, bool, bool) {}
-func (discardWatcher) StoreStatus(string, error)                      {}
+func (discardWatcher) RowsChanged(string, []follower.Row, time.Duration, bool) {}
+func (discardWatcher) StoreStatus(string, int, error)                          {}
 
 // Guards against a host that waits forever after a pause because neither the store nor
 // another host responds, and against one that continues before its state was confirmed.
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -19,7 +19,7 @@
 }
 
 // RowsChanged implements follower.Watcher.
-func (c *Conductor) RowsChanged(table string, rows []follower.Row, _, first bool) {
+func (c *Conductor) RowsChanged(table string, rows []follower.Row, unconfirmed time.Duration, first bool) {
 	now := time.Now()
 	defer c.registrar.BeginBatch()()
 	for _, r := range rows {
@@ -28,19 +28,19 @@
 			if table == c.platform.UpstreamTable() {
 				c.applyRegistration(r, now, first)
 			} else {
-				c.applyOperatorRow(r, now)
+				c.applyOperatorRow(r, now, unconfirmed)
 			}
 		})
 	}
 }
 
 // StoreStatus implements follower.Watcher.
-func (c *Conductor) StoreStatus(table string, err error) {
+func (c *Conductor) StoreStatus(table string, failures int, err error) {
 	if err != nil {
 		c.log.Event(logger.StoreFailed).Str("table", table).Err(err).Send()
 		return
 	}
-	c.log.Event(logger.StoreRecovered).Str("table", table).Send()
+	c.log.Event(logger.StoreRecovered).Str("table", table).Int("failures", failures).Send()
 }
 
 // applyRegistration applies a row of the table of upstreams. An invalid row is logged. It
@@ -62,7 +62,7 @@
 // applyOperatorRow applies a row of the operator's table: an evacuation or a
 // configuration. An invalid configuration is logged and ignored, and so is one whose
 // version is not above the installed one.
-func (c *Conductor) applyOperatorRow(r follower.Row, now time.Time) {
+func (c *Conductor) applyOperatorRow(r follower.Row, now time.Time, unconfirmed time.Duration) {
 	if zone, ok := c.platform.EvacuatedZone(r.Key); ok {
 		c.registrar.SetEvacuated(zone, !r.Deleted, now)
 		c.log.Event(logger.ZoneEvacuated).Str("zone", zone).Bool("evacuated", !r.Deleted).Uint64("row", r.Version).Send()
@@ -81,5 +81,6 @@
 	}
 	c.table.Store(t)
 	c.gossiper.SetVersion(t.Version())
-	c.log.Event(logger.VersionInstalled).Uint64("version", t.Version()).Int("routes", t.RouteCount()).Uint64("row", r.Version).Send()
+	c.log.Event(logger.VersionInstalled).Uint64("version", t.Version()).Int("routes", t.RouteCount()).Uint64("row", r.Version).
+		Dur("unconfirmed", unconfirmed).Send()
 }
--- a/internal/process/conductor/rows_internal_test.go
+++ b/internal/process/conductor/rows_internal_test.go
@@ -60,17 +60,17 @@
 	for name, value := range map[string]string{"invalid": "odd", "empty": ""} {
 		t.Run(name, func(t *testing.T) {
 			c, log := newRowConductor()
-			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte("valid"), Version: 1}, {Key: "b", Value: []byte("valid"), Version: 1}}, true, true)
+			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte("valid"), Version: 1}, {Key: "b", Value: []byte("valid"), Version: 1}}, 0, true)
 			assert.DeepEqual(t, upstreamIDs(c), []string{"a", "b"})
 			c.RowsChanged("upstreams", []follower.Row{
 				{Key: "a", Value: []byte(value), Version: 2}, {Key: "odd", Value: []byte(value), Version: 3}, {Key: "c", Value: []byte("valid"), Version: 4},
-			}, false, false)
+			}, 0, false)
 			assert.DeepEqual(t, upstreamIDs(c), []string{"b", "c"})
 			assert.Equal(t, strings.Count(log.String(), `"event":205`), 2, log)
-			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte("valid"), Version: 5}}, false, false)
+			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte("valid"), Version: 5}}, 0, false)
 			assert.DeepEqual(t, upstreamIDs(c), []string{"a", "b", "c"})
 			// An older row that arrives late changes nothing.
-			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte(value), Version: 4}}, false, false)
+			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte(value), Version: 4}}, 0, false)
 			assert.DeepEqual(t, upstreamIDs(c), []string{"a", "b", "c"})
 		})
 	}
@@ -79,7 +79,7 @@
 // Guards against a fault in the code that one row triggers and that hides the other rows.
 func TestPanicOnOneRowLeavesOthers(t *testing.T) {
 	c, log := newRowConductor()
-	c.RowsChanged("upstreams", []follower.Row{{Key: "odd", Value: []byte("panic"), Version: 1}, {Key: "b", Value: []byte("valid"), Version: 2}}, true, true)
+	c.RowsChanged("upstreams", []follower.Row{{Key: "odd", Value: []byte("panic"), Version: 1}, {Key: "b", Value: []byte("valid"), Version: 2}}, 0, true)
 	assert.DeepEqual(t, upstreamIDs(c), []string{"b"})
 	assert.Equal(t, strings.Count(log.String(), `"event":109`), 1, log)
 }
@@ -89,7 +89,7 @@
 	for name, table := range map[string]string{"registration": "upstreams", "configuration": "op"} {
 		t.Run(name, func(t *testing.T) {
 			c, log := newRowConductor()
-			c.RowsChanged(table, []follower.Row{{Key: "odd", Value: []byte(strings.Repeat("ä", 30_000)), Version: 2}}, false, false)
+			c.RowsChanged(table, []follower.Row{{Key: "odd", Value: []byte(strings.Repeat("ä", 30_000)), Version: 2}}, 0, false)
 			assert.Equal(t, strings.Count(log.String(), "\n"), 1)
 			assert.Assert(t, log.Len() < 1000, "%d bytes", log.Len())
 			var line struct{ Error string }
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -70,12 +70,13 @@
 
 // Watcher receives the changes of a table. RowsChanged calls do not overlap.
 type Watcher interface {
-	// RowsChanged delivers changed rows. full is set if they come from a full table;
-	// initial is set for the first one.
-	RowsChanged(table string, rows []Row, full, initial bool)
-	// StoreStatus reports that calls to the store began to fail, or succeed again if err is
-	// nil.
-	StoreStatus(table string, err error)
+	// RowsChanged delivers changed rows. unconfirmed is the time since the store last
+	// confirmed the copy without them; initial is set for the first full table, without an
+	// earlier confirmation.
+	RowsChanged(table string, rows []Row, unconfirmed time.Duration, initial bool)
+	// StoreStatus reports that calls to the store began to fail, or, if err is nil, that they
+	// succeed again after a number of failures.
+	StoreStatus(table string, failures int, err error)
 }
 
 // Follower keeps the copy of a table. It is safe for concurrent use.
@@ -96,7 +97,7 @@
 	gap            gap       // apart from those in the gap
 	confirmedAt    time.Time // last confirmation by the store, zero after a pause of the process
 	pauses         int       // number of pauses of the process
-	failing        bool
+	failures       int       // calls to the store that failed since the last one that succeeded
 	offer          offer
 }
 
@@ -170,7 +171,7 @@
 func (f *Follower) ConfirmedSince(since time.Time) (confirmed, failing bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.confirmedAt.Before(since), f.failing
+	return !f.confirmedAt.Before(since), f.failures > 0
 }
 
 // Run keeps the copy up to date until ctx is done.
@@ -211,11 +212,14 @@
 // status changed.
 func (f *Follower) reportStatus(err error) {
 	f.mu.Lock()
-	changed := (err != nil) != f.failing
-	f.failing = err != nil
+	before := f.failures
+	f.failures++
+	if err == nil {
+		f.failures = 0
+	}
 	f.mu.Unlock()
-	if changed {
-		f.watcher.StoreStatus(f.table, err)
+	if (err != nil) != (before > 0) {
+		f.watcher.StoreStatus(f.table, before, err)
 	}
 }
 
@@ -262,13 +266,14 @@
 			return
 		}
 	}
+	before := f.confirmedAt
 	if confirmedAt := time.Now().Add(-p.Age); confirmedAt.After(f.confirmedAt) {
 		f.confirmedAt = confirmedAt
 	}
 	changed := f.apply(p, full)
 	f.version = p.Version
 	if len(changed) > 0 || initial {
-		f.watcher.RowsChanged(f.table, changed, full, initial)
+		f.watcher.RowsChanged(f.table, changed, time.Since(before), initial)
 	}
 }
 
@@ -371,7 +376,7 @@
 func (f *Follower) SyncRequest() (version uint64, full, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.version, f.failing, f.version > 0 || f.failing
+	return f.version, f.failures > 0, f.version > 0 || f.failures > 0
 }
 
 // SyncResponse returns what a copy at the given version lacks: the changes since, or the
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -78,7 +78,7 @@
 
 func newTable() *table { return &table{rows: make(map[string]string)} }
 
-func (w *table) RowsChanged(_ string, rows []follower.Row, _, _ bool) {
+func (w *table) RowsChanged(_ string, rows []follower.Row, _ time.Duration, _ bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range rows {
@@ -90,7 +90,7 @@
 	}
 }
 
-func (w *table) StoreStatus(_ string, err error) {
+func (w *table) StoreStatus(_ string, _ int, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.events = append(w.events, fmt.Sprint(err != nil))
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -66,7 +66,7 @@
 	ProcessPaused:          {zerolog.WarnLevel, "process paused", "The process got no CPU time for the duration in length; requests waited for the duration in took until its tables were confirmed to be current, or proceeded unconfirmed if confirmed is false."},
 	AcceptFailed:           {zerolog.WarnLevel, "accept failed", "A listener could not accept a connection, for example because the process has no file descriptors left; it tries again."},
 	VersionAccepted:        {zerolog.InfoLevel, "version accepted", "A configuration version published through this host won its conditional write."},
-	VersionInstalled:       {zerolog.InfoLevel, "version installed", "The configuration version in the field version is in effect on this host."},
+	VersionInstalled:       {zerolog.InfoLevel, "version installed", "The configuration version in the field version is in effect on this host. On `entry`, unconfirmed is the time since the store last confirmed the copy of the table without it."},
 	VersionRefused:         {zerolog.WarnLevel, "version refused", "A release note or a copy of a configuration version failed a check."},
 	ZoneEvacuated:          {zerolog.InfoLevel, "zone evacuated", "The operator evacuated the zone, or restored it if evacuated is false; its upstreams get no new requests, or get requests again as cold upstreams."},
 	RegistrationInvalid:    {zerolog.WarnLevel, "registration invalid", "A registration in the store can't be read and names no upstream, even if it did before; other registrations are not affected."},
@@ -82,8 +82,8 @@
 	RequestFailed:          {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run; attempts, where given, lists the attempts made."},
 	RequestServed:          {zerolog.InfoLevel, "request served", "A request got an upstream's response; attempts lists where it was sent, what was expected there, and the result."},
 	RequestRefused:         {zerolog.WarnLevel, "request refused", "A request got an error response of a kind that guarantees it did not run; kind, room and attempts give the reason, and cause, where given, says how the connection of its caller ended."},
-	StoreFailed:            {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again."},
-	StoreRecovered:         {zerolog.InfoLevel, "store recovered", "The store responds again after failures."},
+	StoreFailed:            {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again. On `entry`, the error tells whether the connection was in use before, and how long it was idle."},
+	StoreRecovered:         {zerolog.InfoLevel, "store recovered", "The store responds again; failures, where given, is the number of calls in a row that failed."},
 }
 
 func (e Event) catalogueEntry() catalogueEntry { return catalogue[e] }
