Decode the response field of upstreams that are leaving, and log it

The entry of an attempt in the log of a request says whether the response stated that the upstream is leaving, which the hypotheses of docs/incidents/leaving-upstreams.md need. Nothing acts on it yet.

--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -384,6 +384,9 @@
 		return d.Str("outcome", "under way")
 	}
 	d.Dur("took", a.elapsed)
+	if a.metadata.Leaving {
+		d.Bool("leaving", true)
+	}
 	if a.err != nil {
 		return d.Str("outcome", classifier.Of(a.err).String()).AnErr("error", a.err)
 	}
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -40,6 +40,10 @@
 	HasRateLimit bool
 	// InvalidRateLimit is the text of a rate limit that cannot be read.
 	InvalidRateLimit string
+	// Leaving means that the upstream is leaving and must get no new requests.
+	Leaving bool
+	// InvalidLeaving is the text of such a statement that cannot be read.
+	InvalidLeaving string
 }
 
 // Dialect reads and writes the header fields that callers and upstreams use.
