--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -39,6 +39,7 @@
 	UpstreamUnreachable    Event = 503
 	RateLimitChanged       Event = 504
 	RateLimitInvalid       Event = 505
+	LeavingInvalid         Event = 506
 	RequestFailed          Event = 601
 	RequestServed          Event = 602
 	RequestRefused         Event = 603
@@ -74,11 +75,12 @@
 	SharesChanged:          {zerolog.InfoLevel, "shares changed", "The field shares gives the number of shares of the ledger's limits that the host now holds."},
 	HolderGone:             {zerolog.WarnLevel, "holder gone", "An operator stated that the holder's machine no longer exists; its shares become free after 33 s."},
 	LoanTaken:              {zerolog.DebugLevel, "loan taken", "Another host lent units of the limit for at most 30 s."},
-	UpstreamLeaving:        {zerolog.InfoLevel, "upstream leaving", "The upstream gets no new requests; the field sign gives the reason."},
+	UpstreamLeaving:        {zerolog.InfoLevel, "upstream leaving", "The upstream gets no new requests; the field sign gives the reason: its registration, or a response in which it said so."},
 	ConnectionUnresponsive: {zerolog.WarnLevel, "connection unresponsive", "Connections to the address carried no data while a new one works; they are closed."},
 	UpstreamUnreachable:    {zerolog.WarnLevel, "upstream unreachable", "The address refused a connection, or did not respond to a probe on a new one."},
 	RateLimitChanged:       {zerolog.InfoLevel, "rate limit changed", "The upstream began to state a rate limit in its responses, in requests per second of all hosts together, or stopped if limited is false. With the field age, another host got that response; such a limit also ends when it is not stated anew for 20 s."},
 	RateLimitInvalid:       {zerolog.WarnLevel, "rate limit invalid", "A response states a rate limit that can't be read; the one that is known stays in effect."},
+	LeavingInvalid:         {zerolog.WarnLevel, "leaving invalid", "A response says in a way that can't be read whether the upstream is leaving; it counts as not leaving."},
 	RequestFailed:          {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run; attempts, where given, lists the attempts made."},
 	RequestServed:          {zerolog.InfoLevel, "request served", "A request got an upstream's response; attempts lists where it was sent, what was expected there, and the result."},
 	RequestRefused:         {zerolog.WarnLevel, "request refused", "A request got an error response of a kind that guarantees it did not run; kind, room and attempts give the reason, and cause, where given, says how the connection of its caller ended."},
--- a/internal/process/registrar/ratelimit.go
+++ b/internal/process/registrar/ratelimit.go
@@ -111,20 +111,10 @@
 	return true
 }
 
-// inheritRateLimit copies the rate limit of the same upstream under a removed registration.
-func (u *Upstream) inheritRateLimit(old *Upstream) {
-	old.mu.Lock()
-	defer old.mu.Unlock()
-	u.copyRateLimit(old)
-}
-
-// copyRateLimit copies a rate limit that the same process stated. The caller must hold mu of
-// the other Upstream.
-func (u *Upstream) copyRateLimit(old *Upstream) {
-	if u.startUnixMilli == old.startUnixMilli {
-		u.limit = old.limit
-		u.rateLimited.Store(old.rateLimited.Load())
-	}
+// setRateLimit sets the rate limit of a new Upstream to one that the same process stated.
+func (u *Upstream) setRateLimit(limit rateLimit) {
+	u.limit = limit
+	u.rateLimited.Store(!limit.statedAt.IsZero())
 }
 
 // resetRateLimit removes the rate limit. Statements up to endedAt no longer count. The
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -76,7 +76,7 @@
 
 	mu            sync.Mutex
 	upstreams     map[string]*Upstream // by ID
-	removed       map[string]*Upstream // with a rate limit, by ID
+	departures    map[string]departure // by ID, of upstreams without a registration
 	evacuated     map[string]bool      // zones whose upstreams get no new requests
 	onLeave       func(u *Upstream, reason string)
 	openBatches   int             // batches that are not committed
@@ -88,15 +88,15 @@
 // New returns an empty Registrar. regions maps availability zones to regions.
 func New(regions map[string]string) *Registrar {
 	r := &Registrar{
-		regions: regions, upstreams: make(map[string]*Upstream), removed: make(map[string]*Upstream),
+		regions: regions, upstreams: make(map[string]*Upstream), departures: make(map[string]departure),
 		evacuated: make(map[string]bool), staleServices: make(map[string]bool),
 	}
 	r.groups.Store(new(map[string]*Group))
 	return r
 }
 
-// OnLeave sets the function that is called when an upstream begins to drain or its
-// registration is removed. It must be called before the first Put. f must not call the
+// OnLeave sets the function that is called when an upstream begins to drain, says that it is
+// leaving, or its registration is removed. It must be called before the first Put. f must not call the
 // Registrar.
 func (r *Registrar) OnLeave(f func(u *Upstream, reason string)) { r.onLeave = f }
 
@@ -130,12 +130,10 @@
 		u = newUpstream(reg, r.regions[reg.Zone])
 		if old != nil {
 			u.inheritState(old)
-		} else if removed := r.removed[reg.ID]; removed != nil {
-			u.inheritRateLimit(removed)
-			delete(r.removed, reg.ID)
-		}
-		if old != nil {
 			r.staleServices[old.service] = true
+		} else if d, ok := r.departures[reg.ID]; ok {
+			u.restore(d)
+			delete(r.departures, reg.ID)
 		}
 		r.upstreams[reg.ID] = u
 		changed = true
@@ -143,6 +141,9 @@
 	u.rowVersion = reg.RowVersion
 	startsDraining := reg.Draining && !u.draining
 	u.draining = reg.Draining
+	if u.leaving && u.startUnixMilli != reg.StartUnixMilli {
+		u.leaving, changed = false, true
+	}
 	u.applyRegistration(reg, now, firstRead)
 	if changed {
 		r.staleServices[u.service] = true
@@ -163,25 +164,66 @@
 		return
 	}
 	delete(r.upstreams, id)
-	r.keepRateLimit(u)
+	r.keepDeparture(u)
 	r.staleServices[u.service] = true
 	r.publish()
 	r.notifyLeaving(u, "registration removed")
 }
 
-// maxRemoved bounds the number of removed upstreams whose rate limit is kept.
-const maxRemoved = 1024
-
-// keepRateLimit keeps the rate limit of a removed upstream. A registration may expire while
-// the store fails, and is written again if the upstream still runs. The caller must hold mu.
-func (r *Registrar) keepRateLimit(u *Upstream) {
-	if !u.rateLimited.Load() {
+// MarkLeaving records that a process of an upstream, given by its start time, said in a
+// response that it is leaving. It gets no new requests, whatever its registration says, until
+// another process registers under its ID. MarkLeaving has no effect if another process has.
+func (r *Registrar) MarkLeaving(id string, startUnixMilli int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := r.upstreams[id]
+	if u == nil {
+		if d, ok := r.departures[id]; !ok || d.startUnixMilli == startUnixMilli {
+			d.startUnixMilli, d.leaving = startUnixMilli, true
+			r.addDeparture(id, d)
+		}
+		return
+	}
+	if u.leaving || u.startUnixMilli != startUnixMilli {
+		return
+	}
+	u.leaving = true
+	if u.draining {
 		return
 	}
-	if len(r.removed) >= maxRemoved {
-		clear(r.removed)
+	r.staleServices[u.service] = true
+	r.publish()
+	r.notifyLeaving(u, "said so in a response")
+}
+
+// departure is what is kept of an upstream whose registration was removed. A registration may
+// expire while the store fails, and is written again if the upstream still runs.
+type departure struct {
+	startUnixMilli int64
+	leaving        bool
+	limit          rateLimit
+}
+
+// maxDepartures bounds the number of departures that are kept, with 100 bytes each.
+const maxDepartures = 4096
+
+// keepDeparture keeps what a process said of itself. The caller must hold mu.
+func (r *Registrar) keepDeparture(u *Upstream) {
+	if d := u.departure(); d.leaving || !d.limit.statedAt.IsZero() {
+		r.addDeparture(u.id, d)
+	}
+}
+
+// addDeparture keeps a departure, in place of a random one if there are too many. The caller
+// must hold mu.
+func (r *Registrar) addDeparture(id string, d departure) {
+	if len(r.departures) >= maxDepartures {
+		for other := range r.departures {
+			delete(r.departures, other)
+			break
+		}
 	}
-	r.removed[u.id] = u
+	r.departures[id] = d
 }
 
 // SetEvacuated sets whether an availability zone is evacuated. The upstreams of an
@@ -252,7 +294,7 @@
 			g = &Group{byRegion: make(map[string][]*Upstream)}
 			groups[u.service] = g
 		}
-		if !u.draining && !r.evacuated[u.zone] {
+		if !u.draining && !u.leaving && !r.evacuated[u.zone] {
 			g.upstreams = append(g.upstreams, u)
 		}
 	}
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -244,3 +244,51 @@
 		})
 	}
 }
+
+// Guards against an upstream that said in a response that it is leaving and gets requests
+// again before another process has its ID, and against one that gets none after that.
+func TestLeavingLastsUntilProcessEnds(t *testing.T) {
+	now := time.Now()
+	changed := func(version uint64, change func(*registrar.Registration)) registrar.Registration {
+		reg := entry("x", version)
+		change(&reg)
+		return reg
+	}
+	restarted := changed(9, func(reg *registrar.Registration) { reg.StartUnixMilli = 2 })
+	for name, c := range map[string]struct {
+		act  func(r *registrar.Registrar)
+		want string
+	}{
+		"said so":          {func(*registrar.Registrar) {}, "y"},
+		"registered again": {func(r *registrar.Registrar) { r.Put(entry("x", 2), now, false) }, "y"},
+		"other slots": {func(r *registrar.Registrar) {
+			r.Put(changed(2, func(reg *registrar.Registration) { reg.Slots = 9 }), now, false)
+		}, "y"},
+		"other address": {func(r *registrar.Registrar) {
+			r.Put(changed(2, func(reg *registrar.Registration) { reg.Address = "z:80" }), now, false)
+		}, "y"},
+		"restarted":            {func(r *registrar.Registrar) { r.Put(restarted, now, false) }, "xy"},
+		"removed":              {func(r *registrar.Registrar) { r.Remove("x", 2) }, "y"},
+		"removed and back":     {func(r *registrar.Registrar) { r.Remove("x", 2); r.Put(entry("x", 3), now, false) }, "y"},
+		"removed, restarted":   {func(r *registrar.Registrar) { r.Remove("x", 2); r.Put(restarted, now, false) }, "xy"},
+		"late response":        {func(r *registrar.Registrar) { r.Put(restarted, now, false); r.MarkLeaving("x", 1) }, "xy"},
+		"response, then entry": {func(r *registrar.Registrar) { r.MarkLeaving("z", 1); r.Put(entry("z", 2), now, false) }, "y"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(zones)
+			leaving := 0
+			r.OnLeave(func(_ *registrar.Upstream, reason string) {
+				if reason == "said so in a response" {
+					leaving++
+				}
+			})
+			r.Put(entry("x", 1), now, true)
+			r.Put(entry("y", 1), now, true)
+			r.MarkLeaving("x", 1)
+			r.MarkLeaving("x", 1)
+			assert.Equal(t, leaving, 1)
+			c.act(r)
+			assert.Equal(t, ids(r), c.want)
+		})
+	}
+}
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -52,9 +52,10 @@
 	inFlight    atomic.Int64
 	rateLimited atomic.Bool // whether limit holds a rate limit
 
-	// rowVersion and draining are guarded by Registrar.mu.
+	// rowVersion, draining and leaving are guarded by Registrar.mu.
 	rowVersion uint64
 	draining   bool
+	leaving    bool // the process said in a response that it is leaving
 
 	mu               sync.Mutex
 	startUnixMilli   int64
@@ -86,8 +87,28 @@
 	old.mu.Lock()
 	defer old.mu.Unlock()
 	u.rowVersion, u.draining = old.rowVersion, old.draining
+	u.leaving = old.leaving && u.startUnixMilli == old.startUnixMilli
 	u.coldUntil, u.suspectSince, u.nextColdRequest = old.coldUntil, old.suspectSince, old.nextColdRequest
-	u.copyRateLimit(old)
+	if u.startUnixMilli == old.startUnixMilli {
+		u.setRateLimit(old.limit)
+	}
+}
+
+// departure returns what is kept when the registration is removed. Registrar.mu must be held.
+func (u *Upstream) departure() departure {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return departure{startUnixMilli: u.startUnixMilli, leaving: u.leaving, limit: u.limit}
+}
+
+// restore sets the state of the same process before its registration was removed.
+// Registrar.mu must be held.
+func (u *Upstream) restore(d departure) {
+	if u.startUnixMilli != d.startUnixMilli {
+		return
+	}
+	u.leaving = d.leaving
+	u.setRateLimit(d.limit)
 }
 
 // ID returns the key of its registration.
@@ -108,6 +129,13 @@
 // Slots returns the number of requests that it runs at once, at least 1.
 func (u *Upstream) Slots() int { return u.slots }
 
+// StartUnixMilli returns the start time of its process, 0 if unknown.
+func (u *Upstream) StartUnixMilli() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.startUnixMilli
+}
+
 // Hash returns the hash of its ID.
 func (u *Upstream) Hash() uint64 { return u.hash }
 
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -36,6 +36,7 @@
 	x               *exchange
 	choice          ranker.Choice
 	upstream        *registrar.Upstream
+	upstreamStart   int64 // start time of the upstream's process, in Unix milliseconds
 	start           time.Time
 	pauses          uint64    // pauses of the process when the upstream was chosen
 	deadline        time.Time // sent to the upstream
@@ -56,7 +57,7 @@
 }
 
 func newAttempt(x *exchange, c ranker.Choice, now time.Time) *attempt {
-	a := &attempt{x: x, choice: c, upstream: c.Upstream, start: now, deadline: x.deadline}
+	a := &attempt{x: x, choice: c, upstream: c.Upstream, upstreamStart: c.Upstream.StartUnixMilli(), start: now, deadline: x.deadline}
 	if a.warmsUp() {
 		a.deadline = x.callerDeadline
 	}
@@ -183,6 +184,9 @@
 		a.closeConn()
 		a.metadata = ResponseMetadata{}
 		return classifier.ResponseMismatch.New("upstream %s sent a response with status %d that may belong to another request", a.upstream.ID(), s)
+	}
+	a.recordLeaving()
+	switch {
 	case a.metadata.NotRun:
 		a.discardBody()
 		return classifier.Shed.New("upstream %s refused the request before running it", a.upstream.ID())
@@ -355,6 +359,19 @@
 	}
 }
 
+// recordLeaving records that the upstream says it is leaving, before the response is passed
+// on. Another process that uses the address now says nothing about the upstream.
+func (a *attempt) recordLeaving() {
+	o, m := &a.x.s.options, &a.metadata
+	if m.InvalidLeaving != "" {
+		o.Log.Event(logger.LeavingInvalid).Str("upstream", a.upstream.ID()).
+			Str("value", m.InvalidLeaving[:min(len(m.InvalidLeaving), maxLoggedValueBytes)]).Send()
+	}
+	if m.Leaving && a.response.StatusCode != http.StatusMisdirectedRequest {
+		o.Upstreams.MarkLeaving(a.upstream.ID(), a.upstreamStart)
+	}
+}
+
 // maxLoggedValueBytes bounds the part of an invalid field that is logged.
 const maxLoggedValueBytes = 64
 
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -62,6 +62,11 @@
 	} else {
 		m.InvalidRateLimit = h.Get("Limit")
 	}
+	if v := h.Get("Leaving"); v == "1" {
+		m.Leaving = true
+	} else {
+		m.InvalidLeaving = v
+	}
 	return m
 }
 func (dialect) SetRequestID(h http.Header, id string) { h.Set("Id", id) }
@@ -164,6 +169,7 @@
 	log      *logLines
 	remove   func(id string)
 	register func(registrar.Registration)
+	group    func() *registrar.Group // of the upstreams that may get new requests
 	dial     func() net.Conn
 }
 
@@ -229,6 +235,7 @@
 	g.first.ran.Store(0)
 	setHandlers(g.first, g.second)
 	g.remove = func(id string) { reg.Remove(id, 2) }
+	g.group = func() *registrar.Group { return reg.Group("s") }
 	g.register = func(r registrar.Registration) { reg.Put(r, time.Now(), true) }
 	return g
 }
