--- a/internal/process/conductor/pause_internal_test.go
+++ b/internal/process/conductor/pause_internal_test.go
@@ -29,6 +29,7 @@
 type discardWatcher struct{}
 
 func (discardWatcher) RowsChanged(string, []follower.Row, time.Duration, bool) {}
+func (discardWatcher) StoreOutdated(string, uint64, uint64, uint64)            {}
 func (discardWatcher) StoreStatus(string, int, error)                          {}
 
 // Guards against a host that waits forever after a pause because neither the store nor
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -43,6 +43,11 @@
 	c.log.Event(logger.StoreRecovered).Str("table", table).Int("failures", failures).Send()
 }
 
+// StoreOutdated implements follower.Watcher.
+func (c *Conductor) StoreOutdated(table string, copied, stored, era uint64) {
+	c.log.Event(logger.StoreRestored).Str("table", table).Uint64("copied", copied).Uint64("stored", stored).Uint64("era", era).Send()
+}
+
 // applyRegistration applies a row of the table of upstreams. An invalid row is logged. It
 // names no upstream, even if the row did before: what the upstream wrote last is unknown.
 func (c *Conductor) applyRegistration(r follower.Row, now time.Time, first bool) {
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -56,6 +56,7 @@
 type Page struct {
 	Rows           []Row
 	Version        uint64
+	Era            uint64 // how often the store came back from an older copy
 	Age            time.Duration
 	TombstoneFloor uint64
 }
@@ -77,6 +78,9 @@
 	// StoreStatus reports that calls to the store began to fail, or, if err is nil, that they
 	// succeed again after a number of failures.
 	StoreStatus(table string, failures int, err error)
+	// StoreOutdated reports that the store has the full table as of an older version than
+	// the copy.
+	StoreOutdated(table string, copied, stored, era uint64)
 }
 
 // Follower keeps the copy of a table. It is safe for concurrent use.
@@ -244,6 +248,9 @@
 		return err
 	}
 	page.Age = f.responseAge(begun, pauses)
+	if page.Version < version {
+		f.watcher.StoreOutdated(f.table, version, page.Version, page.Era)
+	}
 	f.Merge(page, true)
 	return nil
 }
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -90,6 +90,8 @@
 	}
 }
 
+func (w *table) StoreOutdated(string, uint64, uint64, uint64) {}
+
 func (w *table) StoreStatus(_ string, _ int, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -45,6 +45,7 @@
 	RequestRefused         Event = 603
 	StoreFailed            Event = 701
 	StoreRecovered         Event = 702
+	StoreRestored          Event = 703
 )
 
 // catalogueEntry is the row of an event in docs/events.md.
@@ -86,6 +87,7 @@
 	RequestRefused:         {zerolog.WarnLevel, "request refused", "A request got an error response of a kind that guarantees it did not run; kind, room and attempts give the reason, and cause, where given, says how the connection of its caller ended."},
 	StoreFailed:            {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again. On `entry`, the error tells whether the connection was in use before, and how long it was idle."},
 	StoreRecovered:         {zerolog.InfoLevel, "store recovered", "The store responds again; failures, where given, is the number of calls in a row that failed."},
+	StoreRestored:          {zerolog.WarnLevel, "store restored", "The store has the table as of an older version than this host: it came back from a copy. era counts how often that happened."},
 }
 
 func (e Event) catalogueEntry() catalogueEntry { return catalogue[e] }
