--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -124,9 +124,10 @@
 	acceptor  *acceptor.Acceptor
 	followers map[string]*follower.Follower
 
-	table       atomic.Pointer[matcher.Table]
-	stopped     atomic.Bool
-	readyLogged atomic.Bool // whether readiness was announced and logged
+	table          atomic.Pointer[matcher.Table]
+	installedValue []byte // of the row with table; used in RowsChanged of the operator's table
+	stopped        atomic.Bool
+	readyLogged    atomic.Bool // whether readiness was announced and logged
 
 	view              atomic.Pointer[view]
 	membershipChanges atomic.Int64 // incremented to invalidate the view
--- a/internal/process/conductor/exchange.go
+++ b/internal/process/conductor/exchange.go
@@ -11,6 +11,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -52,7 +53,7 @@
 	request := &framer.Sync{Demands: c.surveyor.Demands(c.readsStore.Load(), now), RateLimits: c.rateLimits(now)}
 	for name, f := range c.followers {
 		if version, full, ok := f.SyncRequest(); ok {
-			request.Tables = append(request.Tables, &framer.TableVersion{Table: name, Version: version, Whole: full})
+			request.Tables = append(request.Tables, &framer.TableVersion{Table: name, Era: version.Era(), Version: version.Number(), Whole: full})
 			if full {
 				timeout = fullSyncTimeout
 			}
@@ -78,10 +79,13 @@
 			continue
 		}
 		page := follower.Page{
-			Version: t.Version, TombstoneFloor: t.Floor, Age: time.Duration(t.AgeMilliseconds) * time.Millisecond,
+			Version: sequencer.New(t.Era, t.Version), Age: time.Duration(t.AgeMilliseconds) * time.Millisecond,
+		}
+		if t.Floor > 0 {
+			page.TombstoneFloor = sequencer.New(t.Era, t.Floor)
 		}
 		for _, r := range t.Rows {
-			page.Rows = append(page.Rows, follower.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+			page.Rows = append(page.Rows, follower.Row{Key: r.Key, Value: r.Value, Version: sequencer.New(t.Era, r.Version), Deleted: r.Deleted})
 		}
 		f.Merge(page, t.Whole)
 	}
@@ -145,15 +149,15 @@
 		if f == nil {
 			continue
 		}
-		page, full, ok := f.SyncResponse(t.Version, t.Whole)
+		page, full, ok := f.SyncResponse(sequencer.New(t.Era, t.Version), t.Whole)
 		if !ok {
 			continue
 		}
 		rows := &framer.TableRows{
-			Table: t.Table, Version: page.Version, Whole: full, Floor: page.TombstoneFloor, AgeMilliseconds: page.Age.Milliseconds(),
+			Table: t.Table, Era: page.Version.Era(), Version: page.Version.Number(), Whole: full, Floor: page.TombstoneFloor.Number(), AgeMilliseconds: page.Age.Milliseconds(),
 		}
 		for _, r := range page.Rows {
-			rows.Rows = append(rows.Rows, &framer.TableRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+			rows.Rows = append(rows.Rows, &framer.TableRow{Key: r.Key, Value: r.Value, Version: r.Version.Number(), Deleted: r.Deleted})
 		}
 		out.Tables = append(out.Tables, rows)
 	}
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -45,8 +45,9 @@
 			c.log.Event(logger.StoreFailed).Str("call", "hosts").Err(err).Send()
 		} else {
 			c.addSeeds(hosts)
-			// A row that an earlier process of this host wrote need not be written again.
-			announced = announced || slices.Contains(hosts, self)
+			// A row that an earlier process of this host wrote need not be written again. One
+			// that is missing was lost by a store that came back from an older copy.
+			announced = slices.Contains(hosts, self)
 		}
 		if !announced {
 			failure := c.platform.Announce(callCtx, self)
--- a/internal/process/conductor/fleet_internal_test.go
+++ b/internal/process/conductor/fleet_internal_test.go
@@ -12,6 +12,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
@@ -157,7 +158,7 @@
 	now := time.Now()
 	host := func() *Conductor {
 		c := &Conductor{registrar: registrar.New(map[string]string{"z": "r"})}
-		c.registrar.Put(registrar.Registration{ID: "x", Service: "s", Zone: "z", Slots: 1, RowVersion: 1, StartUnixMilli: 7}, now, true)
+		c.registrar.Put(registrar.Registration{ID: "x", Service: "s", Zone: "z", Slots: 1, RowVersion: sequencer.New(0, 1), StartUnixMilli: 7}, now, true)
 		return c
 	}
 	upstream := func(c *Conductor) *registrar.Upstream { return c.registrar.Group("s").Upstreams()[0] }
--- a/internal/process/conductor/pause_internal_test.go
+++ b/internal/process/conductor/pause_internal_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
 	"dandeliontrack.example/dandeliontrack/internal/process/watchdog"
 )
@@ -18,19 +19,19 @@
 type source struct{ err error }
 
 func (s source) Read(context.Context, string) (follower.Page, error) {
-	return follower.Page{Version: 1}, s.err
+	return follower.Page{Version: sequencer.New(0, 1)}, s.err
 }
 
-func (s source) Changes(context.Context, string, uint64) (follower.Page, error) {
-	return follower.Page{Version: 1}, s.err
+func (s source) Changes(context.Context, string, sequencer.Version) (follower.Page, error) {
+	return follower.Page{Version: sequencer.New(0, 1)}, s.err
 }
 
 // discardWatcher is a follower.Watcher that ignores all calls.
 type discardWatcher struct{}
 
-func (discardWatcher) RowsChanged(string, []follower.Row, time.Duration, bool) {}
-func (discardWatcher) StoreOutdated(string, uint64, uint64, uint64)            {}
-func (discardWatcher) StoreStatus(string, int, error)                          {}
+func (discardWatcher) RowsChanged(string, []follower.Row, time.Duration, bool)              {}
+func (discardWatcher) StoreRestored(string, sequencer.Version, sequencer.Version, int, int) {}
+func (discardWatcher) StoreStatus(string, int, error)                                       {}
 
 // Guards against a host that waits forever after a pause because neither the store nor
 // another host responds, and against one that continues before its state was confirmed.
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -1,11 +1,13 @@
 package conductor
 
 import (
+	"bytes"
 	"strings"
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 )
 
 // maxLoggedErrorBytes bounds the logged text of an error that may quote a row. Each host
@@ -43,9 +45,10 @@
 	c.log.Event(logger.StoreRecovered).Str("table", table).Int("failures", failures).Send()
 }
 
-// StoreOutdated implements follower.Watcher.
-func (c *Conductor) StoreOutdated(table string, copied, stored, era uint64) {
-	c.log.Event(logger.StoreRestored).Str("table", table).Uint64("copied", copied).Uint64("stored", stored).Uint64("era", era).Send()
+// StoreRestored implements follower.Watcher.
+func (c *Conductor) StoreRestored(table string, before, after sequencer.Version, missing, returned int) {
+	c.log.Event(logger.StoreRestored).Str("table", table).Stringer("before", before).Stringer("after", after).
+		Int("missing", missing).Int("returned", returned).Send()
 }
 
 // applyRegistration applies a row of the table of upstreams. An invalid row is logged. It
@@ -57,7 +60,7 @@
 	}
 	reg, err := c.platform.ParseRegistration(r)
 	if err != nil {
-		c.log.Event(logger.RegistrationInvalid).Str("key", r.Key).Uint64("row", r.Version).Str("error", shortText(err)).Send()
+		c.log.Event(logger.RegistrationInvalid).Str("key", r.Key).Stringer("row", r.Version).Str("error", shortText(err)).Send()
 		c.registrar.Remove(r.Key, r.Version)
 		return
 	}
@@ -65,12 +68,14 @@
 }
 
 // applyOperatorRow applies a row of the operator's table: an evacuation or a
-// configuration. An invalid configuration is logged and ignored, and so is one whose
-// version is not above the installed one.
+// configuration. An invalid configuration is logged and ignored, and so is one that is older
+// than the installed one: a store that came back from an older copy may have lost that, but its
+// writer was told that it is in force. A version that was given out twice is installed again if
+// its content differs, because rows arrive in the order of the store.
 func (c *Conductor) applyOperatorRow(r follower.Row, now time.Time, unconfirmed time.Duration) {
 	if zone, ok := c.platform.EvacuatedZone(r.Key); ok {
 		c.registrar.SetEvacuated(zone, !r.Deleted, now)
-		c.log.Event(logger.ZoneEvacuated).Str("zone", zone).Bool("evacuated", !r.Deleted).Uint64("row", r.Version).Send()
+		c.log.Event(logger.ZoneEvacuated).Str("zone", zone).Bool("evacuated", !r.Deleted).Stringer("row", r.Version).Send()
 		return
 	}
 	if r.Deleted {
@@ -78,14 +83,21 @@
 	}
 	t, ok, err := c.platform.ParseConfiguration(r)
 	if err != nil {
-		c.log.Event(logger.VersionRefused).Uint64("row", r.Version).Str("error", shortText(err)).Send()
+		c.log.Event(logger.VersionRefused).Stringer("row", r.Version).Str("error", shortText(err)).Send()
 		return
 	}
-	if old := c.table.Load(); !ok || (old != nil && t.Version() <= old.Version()) {
+	if !ok {
 		return
 	}
+	if old := c.table.Load(); old != nil && t.Version() < old.Version() {
+		c.log.Event(logger.VersionRefused).Uint64("version", t.Version()).Uint64("installed", old.Version()).Stringer("row", r.Version).Send()
+		return
+	} else if old != nil && t.Version() == old.Version() && bytes.Equal(r.Value, c.installedValue) {
+		return
+	}
+	c.installedValue = r.Value
 	c.table.Store(t)
 	c.gossiper.SetVersion(t.Version())
-	c.log.Event(logger.VersionInstalled).Uint64("version", t.Version()).Int("routes", t.RouteCount()).Uint64("row", r.Version).
+	c.log.Event(logger.VersionInstalled).Uint64("version", t.Version()).Int("routes", t.RouteCount()).Stringer("row", r.Version).
 		Dur("unconfirmed", unconfirmed).Send()
 }
--- a/internal/process/conductor/rows_internal_test.go
+++ b/internal/process/conductor/rows_internal_test.go
@@ -2,18 +2,27 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
+	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
+	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -60,17 +69,17 @@
 	for name, value := range map[string]string{"invalid": "odd", "empty": ""} {
 		t.Run(name, func(t *testing.T) {
 			c, log := newRowConductor()
-			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte("valid"), Version: 1}, {Key: "b", Value: []byte("valid"), Version: 1}}, 0, true)
+			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte("valid"), Version: sequencer.New(0, 1)}, {Key: "b", Value: []byte("valid"), Version: sequencer.New(0, 1)}}, 0, true)
 			assert.DeepEqual(t, upstreamIDs(c), []string{"a", "b"})
 			c.RowsChanged("upstreams", []follower.Row{
-				{Key: "a", Value: []byte(value), Version: 2}, {Key: "odd", Value: []byte(value), Version: 3}, {Key: "c", Value: []byte("valid"), Version: 4},
+				{Key: "a", Value: []byte(value), Version: sequencer.New(0, 2)}, {Key: "odd", Value: []byte(value), Version: sequencer.New(0, 3)}, {Key: "c", Value: []byte("valid"), Version: sequencer.New(0, 4)},
 			}, 0, false)
 			assert.DeepEqual(t, upstreamIDs(c), []string{"b", "c"})
 			assert.Equal(t, strings.Count(log.String(), `"event":205`), 2, log)
-			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte("valid"), Version: 5}}, 0, false)
+			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte("valid"), Version: sequencer.New(0, 5)}}, 0, false)
 			assert.DeepEqual(t, upstreamIDs(c), []string{"a", "b", "c"})
 			// An older row that arrives late changes nothing.
-			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte(value), Version: 4}}, 0, false)
+			c.RowsChanged("upstreams", []follower.Row{{Key: "a", Value: []byte(value), Version: sequencer.New(0, 4)}}, 0, false)
 			assert.DeepEqual(t, upstreamIDs(c), []string{"a", "b", "c"})
 		})
 	}
@@ -79,7 +88,7 @@
 // Guards against a fault in the code that one row triggers and that hides the other rows.
 func TestPanicOnOneRowLeavesOthers(t *testing.T) {
 	c, log := newRowConductor()
-	c.RowsChanged("upstreams", []follower.Row{{Key: "odd", Value: []byte("panic"), Version: 1}, {Key: "b", Value: []byte("valid"), Version: 2}}, 0, true)
+	c.RowsChanged("upstreams", []follower.Row{{Key: "odd", Value: []byte("panic"), Version: sequencer.New(0, 1)}, {Key: "b", Value: []byte("valid"), Version: sequencer.New(0, 2)}}, 0, true)
 	assert.DeepEqual(t, upstreamIDs(c), []string{"b"})
 	assert.Equal(t, strings.Count(log.String(), `"event":109`), 1, log)
 }
@@ -89,7 +98,7 @@
 	for name, table := range map[string]string{"registration": "upstreams", "configuration": "op"} {
 		t.Run(name, func(t *testing.T) {
 			c, log := newRowConductor()
-			c.RowsChanged(table, []follower.Row{{Key: "odd", Value: []byte(strings.Repeat("ä", 30_000)), Version: 2}}, 0, false)
+			c.RowsChanged(table, []follower.Row{{Key: "odd", Value: []byte(strings.Repeat("ä", 30_000)), Version: sequencer.New(0, 2)}}, 0, false)
 			assert.Equal(t, strings.Count(log.String(), "\n"), 1)
 			assert.Assert(t, log.Len() < 1000, "%d bytes", log.Len())
 			var line struct{ Error string }
@@ -98,3 +107,81 @@
 		})
 	}
 }
+
+// versionPlatform is a textPlatform whose configurations are texts that begin with their
+// version. It records announced hosts.
+type versionPlatform struct {
+	textPlatform
+	hosts []Host
+}
+
+func (versionPlatform) ParseConfiguration(r follower.Row) (*matcher.Table, bool, error) {
+	var version uint64
+	if _, err := fmt.Sscan(string(r.Value), &version); err != nil {
+		return nil, false, err
+	}
+	t, err := matcher.New(version, nil, nil, matcher.Limits{})
+	return t, err == nil, err
+}
+
+func (p *versionPlatform) Hosts(context.Context) ([]Host, error) { return p.hosts, nil }
+
+func (p *versionPlatform) Announce(_ context.Context, h Host) error {
+	p.hosts = append(p.hosts, h)
+	return nil
+}
+
+// Guards against a restored store that replaces a configuration in force by an older one, and
+// against a version that was given out twice and keeps its first content.
+func TestConfigurationDoesNotGoBack(t *testing.T) {
+	c, log := newRowConductor()
+	c.platform, c.gossiper = new(versionPlatform), gossiper.New(&framer.Member{Name: "h"}, nil, nil)
+	for i, step := range []struct {
+		row       string
+		era       uint64
+		installed uint64
+		installs  int
+	}{{"7 a", 1, 7, 1}, {"5 a", 2, 7, 1}, {"7 a", 2, 7, 1}, {"7 b", 2, 7, 2}, {"8 a", 2, 8, 3}} {
+		c.RowsChanged("op", []follower.Row{{Key: "config", Value: []byte(step.row), Version: sequencer.New(step.era, uint64(i+1))}}, 0, false)
+		assert.Equal(t, c.table.Load().Version(), step.installed, step.row)
+		assert.Equal(t, strings.Count(log.String(), `"event":202`), step.installs, step.row)
+	}
+	assert.Equal(t, strings.Count(log.String(), `"event":203`), 1)
+}
+
+// Guards against a host that others can't find because a restored store lost its row.
+func TestHostWhoseRowIsLostAnnouncesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newRowConductor()
+		p := new(versionPlatform)
+		c.platform, c.settings = p, Settings{Name: "h", PeerAddress: "10.0.0.1:7000"}
+		c.gossiper = gossiper.New(&framer.Member{Name: "h"}, nil, nil)
+		c.throttler = throttler.New("h", throttler.Limit{}, time.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go c.announce(ctx)
+		time.Sleep(time.Minute)
+		assert.DeepEqual(t, p.hosts, []Host{{"h", "10.0.0.1:7000"}})
+		p.hosts = nil
+		time.Sleep(2 * time.Minute)
+		assert.DeepEqual(t, p.hosts, []Host{{"h", "10.0.0.1:7000"}})
+	})
+}
+
+// Guards against versions that lose their era on the way between hosts.
+func TestErasPassBetweenHosts(t *testing.T) {
+	host := func(era uint64) *Conductor {
+		c, _ := newRowConductor()
+		c.surveyor = surveyor.New("h", "a", time.Now())
+		f := follower.New("upstreams", nil, 0, c)
+		f.Merge(follower.Page{Version: sequencer.New(era, 9), Rows: []follower.Row{{Key: "a", Value: []byte("valid"), Version: sequencer.New(era, 3)}}}, true)
+		c.followers = map[string]*follower.Follower{"upstreams": f}
+		return c
+	}
+	request := &framer.Sync{Tables: []*framer.TableVersion{{Table: "upstreams", Era: 1, Version: 50, Whole: true}}}
+	out := host(2).syncResponse(request).Tables
+	assert.Equal(t, len(out), 1)
+	assert.Assert(t, out[0].Whole)
+	assert.Equal(t, out[0].Era, uint64(2))
+	assert.Equal(t, len(host(1).syncResponse(&framer.Sync{Tables: []*framer.TableVersion{{Table: "upstreams", Era: 2, Version: 1}}}).Tables), 0)
+}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -2,7 +2,9 @@
 //
 // The copy is updated from the store's change feed, or from the copy of another host while
 // the store does not respond. The store numbers its transactions, so one version describes
-// a copy, and the changes that another host lacks are the rows with a higher version.
+// a copy, and the changes that another host lacks are the rows with a higher version. A store
+// that comes back from an older copy begins a new era of versions: the table is then read in
+// full and replaces the copy (see restoration).
 //
 //	f := follower.New("upstreams", source, period, watcher)
 //	go f.Run(ctx)
@@ -15,6 +17,7 @@
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -46,27 +49,27 @@
 type Row struct {
 	Key     string
 	Value   []byte
-	Version uint64
+	Version sequencer.Version
 	Deleted bool
 }
 
 // Page holds changed rows, or the full table, as of a version of the store that the store
 // confirmed Age ago. A full table lists all deletions after version TombstoneFloor, and
-// none if TombstoneFloor is 0.
+// none if TombstoneFloor is zero.
 type Page struct {
 	Rows           []Row
-	Version        uint64
-	Era            uint64 // how often the store came back from an older copy
+	Version        sequencer.Version
 	Age            time.Duration
-	TombstoneFloor uint64
+	TombstoneFloor sequencer.Version
 }
 
 // Source reads the store. Read returns a full table. Changes returns the rows that changed
 // after a version and waits for the first change for a bounded time. Its error is of kind
-// NotFound if the store no longer has the history after that version.
+// NotFound if the store no longer has the history after that version. If the page is of
+// another era, its rows are undefined.
 type Source interface {
 	Read(ctx context.Context, table string) (Page, error)
-	Changes(ctx context.Context, table string, after uint64) (Page, error)
+	Changes(ctx context.Context, table string, after sequencer.Version) (Page, error)
 }
 
 // Watcher receives the changes of a table. RowsChanged calls do not overlap.
@@ -78,9 +81,9 @@
 	// StoreStatus reports that calls to the store began to fail, or, if err is nil, that they
 	// succeed again after a number of failures.
 	StoreStatus(table string, failures int, err error)
-	// StoreOutdated reports that the store has the full table as of an older version than
-	// the copy.
-	StoreOutdated(table string, copied, stored, era uint64)
+	// StoreRestored reports that the store came back from an older copy: the versions of the
+	// copy before and after, and the numbers of rows that the store lacks and that are back.
+	StoreRestored(table string, before, after sequencer.Version, missing, returned int)
 }
 
 // Follower keeps the copy of a table. It is safe for concurrent use.
@@ -94,11 +97,12 @@
 
 	mu             sync.Mutex
 	rows           map[string]Row
-	tombstones     int    // number of rows that are deletions
-	newestRow      uint64 // highest row version
-	version        uint64
-	tombstoneFloor uint64    // rows include all deletions after this version,
-	gap            gap       // apart from those in the gap
+	tombstones     int               // number of rows that are deletions
+	newestRow      sequencer.Version // highest row version
+	version        sequencer.Version
+	tombstoneFloor sequencer.Version // rows include all deletions after this version,
+	gap            gap               // apart from those in the gap
+	restoration    restoration
 	confirmedAt    time.Time // last confirmation by the store, zero after a pause of the process
 	pauses         int       // number of pauses of the process
 	failures       int       // calls to the store that failed since the last one that succeeded
@@ -113,14 +117,16 @@
 
 // gap is an open interval of versions. A copy of a version in it may hold rows whose
 // deletion this copy has not seen.
-type gap struct{ low, high uint64 }
+type gap struct{ low, high sequencer.Version }
 
-func (g gap) contains(version uint64) bool { return g.low < version && version < g.high }
+func (g gap) contains(version sequencer.Version) bool {
+	return g.low.Before(version) && version.Before(g.high)
+}
 
 // New returns an empty copy of a table. period is the minimum time from the start of a
 // successful call to the store to the next call.
 func New(table string, s Source, period time.Duration, w Watcher) *Follower {
-	return &Follower{table: table, source: s, period: period, watcher: w, rows: make(map[string]Row)}
+	return &Follower{table: table, source: s, period: period, watcher: w, rows: make(map[string]Row), restoration: newRestoration()}
 }
 
 // SetEquivalent sets the function that compares two values of a row. A row whose value is
@@ -137,9 +143,9 @@
 // Table returns the name of the table.
 func (f *Follower) Table() string { return f.table }
 
-// Version returns the version of the store that the copy reflects, 0 before the first
+// Version returns the version of the store that the copy reflects, zero before the first
 // read.
-func (f *Follower) Version() uint64 {
+func (f *Follower) Version() sequencer.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.version
@@ -209,7 +215,7 @@
 func (f *Follower) updatedByPeers(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.readCondition != nil && f.version > 0 && !f.readCondition() && now.Sub(f.confirmedAt) < maxConfirmationAge
+	return f.readCondition != nil && !f.version.IsZero() && !f.readCondition() && now.Sub(f.confirmedAt) < maxConfirmationAge
 }
 
 // reportStatus records the result of a call to the store and notifies the watcher if the
@@ -228,42 +234,53 @@
 }
 
 // update updates the copy from the store. It reads the changes, or the full table if there
-// is no copy yet or the store no longer has the history after its version.
+// is no copy yet, the store no longer has the history after its version, or the store is in a
+// later era. Eras only rise, so a response of an earlier one to a call that begins now is not
+// from the store that the copy is from; it is an error, and the copy stays.
 func (f *Follower) update(ctx context.Context) error {
 	version, begun, pauses := f.Version(), time.Now(), f.pauseCount()
-	if version > 0 {
+	if !version.IsZero() {
 		page, err := f.source.Changes(ctx, f.table, version)
-		if err == nil {
+		switch {
+		case err == nil && page.Version.Era() == version.Era():
 			page.Age = f.responseAge(begun, pauses)
 			f.Merge(page, false)
 			return nil
-		}
-		if classifier.Of(err) != classifier.NotFound {
+		case err == nil && page.Version.Era() < version.Era():
+			return eraError(f.table, page.Version, version)
+		case err != nil && classifier.Of(err) != classifier.NotFound:
 			return err
 		}
-		// The store no longer has the history after the version.
 	}
 	page, err := f.source.Read(ctx, f.table)
 	if err != nil {
 		return err
 	}
-	page.Age = f.responseAge(begun, pauses)
-	if page.Version < version {
-		f.watcher.StoreOutdated(f.table, version, page.Version, page.Era)
+	if page.Version.Era() < version.Era() {
+		return eraError(f.table, page.Version, version)
 	}
+	page.Age = f.responseAge(begun, pauses)
 	f.Merge(page, true)
 	return nil
 }
 
+func eraError(table string, stored, copied sequencer.Version) error {
+	return classifier.StoreDown.New("table %s: store is in era %d, the copy in era %d", table, stored.Era(), copied.Era())
+}
+
 // Merge applies a page of the store or of another host and notifies the watcher. full says
 // whether the page holds the full table.
 func (f *Follower) Merge(p Page, full bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p.Version < f.version {
+	if p.Version.Before(f.version) {
 		return // a later response was merged before
 	}
-	initial := f.version == 0
+	initial := f.version.IsZero()
+	newEra := !initial && p.Version.Era() != f.version.Era()
+	if newEra && !full {
+		return
+	}
 	if initial {
 		if !full {
 			return
@@ -277,7 +294,12 @@
 	if confirmedAt := time.Now().Add(-p.Age); confirmedAt.After(f.confirmedAt) {
 		f.confirmedAt = confirmedAt
 	}
-	changed := f.apply(p, full)
+	var changed []Row
+	if newEra {
+		changed = f.replace(p)
+	} else {
+		changed = f.apply(p, full)
+	}
 	f.version = p.Version
 	if len(changed) > 0 || initial {
 		f.watcher.RowsChanged(f.table, changed, time.Since(before), initial)
@@ -294,7 +316,7 @@
 	if f.offer.since.IsZero() {
 		f.offer = offer{p, now}
 	}
-	if p.Version >= f.offer.page.Version {
+	if !p.Version.Before(f.offer.page.Version) {
 		f.offer.page = p
 	}
 	if p.Age > maxConfirmationAge && now.Sub(f.offer.since) < maxOfferWait {
@@ -308,9 +330,10 @@
 func (f *Follower) apply(p Page, full bool) (changed []Row) {
 	for _, r := range p.Rows {
 		old, ok := f.rows[r.Key]
-		if ok && old.Version >= r.Version {
+		if ok && !old.Version.Before(r.Version) {
 			continue
 		}
+		f.restoration.settle(r.Key)
 		changed = append(changed, r)
 		if ok && f.equivalent != nil && !old.Deleted && !r.Deleted && f.equivalent(old.Value, r.Value) {
 			continue // other hosts need not get this version
@@ -335,7 +358,7 @@
 		f.tombstones++
 	}
 	f.rows[r.Key] = r
-	f.newestRow = max(f.newestRow, r.Version)
+	f.newestRow = sequencer.Later(f.newestRow, r.Version)
 }
 
 // deleteUnlisted deletes the rows that a full table does not list, and returns the
@@ -347,7 +370,7 @@
 		listed[r.Key] = true
 	}
 	for key, r := range f.rows {
-		if r.Deleted || listed[key] || r.Version > p.Version {
+		if r.Deleted || listed[key] || p.Version.Before(r.Version) {
 			continue
 		}
 		deleted = append(deleted, Row{Key: key, Version: p.Version, Deleted: true})
@@ -357,17 +380,21 @@
 	}
 	known := cmp.Or(p.TombstoneFloor, p.Version)
 	switch {
-	case f.version == 0:
+	case f.version.IsZero():
 		f.tombstoneFloor = known
-	case known > f.version:
-		f.gap = gap{min(cmp.Or(f.gap.low, f.version), f.version), p.Version}
+	case f.version.Before(known):
+		low := f.version
+		if !f.gap.low.IsZero() && f.gap.low.Before(low) {
+			low = f.gap.low
+		}
+		f.gap = gap{low, p.Version}
 	}
 	return deleted
 }
 
 // pruneTombstones removes all deletions. Copies before the given version, which is that of
 // this copy, then get the full table. The caller must hold mu.
-func (f *Follower) pruneTombstones(version uint64) {
+func (f *Follower) pruneTombstones(version sequencer.Version) {
 	for key, r := range f.rows {
 		if r.Deleted {
 			delete(f.rows, key)
@@ -380,30 +407,30 @@
 // request the full table if that host does not have all changes since. Because a full table
 // is large, it is requested only while calls to the store fail. ok is false before the first
 // read of the store has succeeded or failed.
-func (f *Follower) SyncRequest() (version uint64, full, ok bool) {
+func (f *Follower) SyncRequest() (version sequencer.Version, full, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.version, f.failures > 0, f.version > 0 || f.failures > 0
+	return f.version, f.failures > 0, !f.version.IsZero() || f.failures > 0
 }
 
 // SyncResponse returns what a copy at the given version lacks: the changes since, or the
 // full table if this copy does not have all of them and allowFull is set. ok is false if
 // this copy is older or cannot provide the changes.
-func (f *Follower) SyncResponse(version uint64, allowFull bool) (page Page, full, ok bool) {
+func (f *Follower) SyncResponse(version sequencer.Version, allowFull bool) (page Page, full, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	full = version < f.tombstoneFloor || version == 0 || f.gap.contains(version)
-	if f.version < version || f.version == 0 || (full && !allowFull) {
+	full = version.Before(f.tombstoneFloor) || version.IsZero() || f.gap.contains(version)
+	if f.version.Before(version) || f.version.IsZero() || (full && !allowFull) {
 		return Page{}, false, false
 	}
 	page.Version, page.Age = f.version, time.Since(f.confirmedAt)
 	if full {
-		page.TombstoneFloor = max(f.tombstoneFloor, f.gap.high)
-	} else if f.newestRow <= version {
+		page.TombstoneFloor = sequencer.Later(f.tombstoneFloor, f.gap.high)
+	} else if !version.Before(f.newestRow) {
 		return page, false, true
 	}
 	for _, r := range f.rows {
-		if full || r.Version > version {
+		if full || version.Before(r.Version) {
 			page.Rows = append(page.Rows, r)
 		}
 	}
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -16,12 +16,14 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
 // store is a table whose calls can fail and whose history can be truncated.
 type store struct {
 	mu      sync.Mutex
+	era     uint64
 	version uint64
 	rows    map[string]follower.Row
 	floor   uint64 // Changes fails for versions below it
@@ -35,34 +37,36 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.rows[key] = follower.Row{Key: key, Value: []byte(value), Version: s.version, Deleted: value == ""}
+	s.rows[key] = follower.Row{Key: key, Value: []byte(value), Version: sequencer.New(s.era, s.version), Deleted: value == ""}
 }
 
 func (s *store) Read(context.Context, string) (follower.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	p := follower.Page{Version: s.version}
+	p := follower.Page{Version: sequencer.New(s.era, s.version)}
 	for _, r := range s.rows {
 		if !r.Deleted {
+			r.Version = sequencer.New(s.era, r.Version.Number())
 			p.Rows = append(p.Rows, r)
 		}
 	}
 	return p, s.down
 }
 
-func (s *store) Changes(_ context.Context, _ string, after uint64) (follower.Page, error) {
+func (s *store) Changes(_ context.Context, _ string, after sequencer.Version) (follower.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down != nil {
 		return follower.Page{}, s.down
 	}
-	if after < s.floor {
+	if after.Number() < s.floor || after.Number() > s.version {
 		return follower.Page{}, classifier.NotFound.New("history after the version was dropped")
 	}
-	p := follower.Page{Version: s.version}
+	p := follower.Page{Version: sequencer.New(s.era, s.version)}
 	for _, r := range s.rows {
-		if r.Version > after {
+		if r.Version.Number() > after.Number() {
+			r.Version = sequencer.New(s.era, r.Version.Number())
 			p.Rows = append(p.Rows, r)
 		}
 	}
@@ -90,7 +94,11 @@
 	}
 }
 
-func (w *table) StoreOutdated(string, uint64, uint64, uint64) {}
+func (w *table) StoreRestored(_ string, _, _ sequencer.Version, missing, returned int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events = append(w.events, fmt.Sprintf("%d missing, %d returned", missing, returned))
+}
 
 func (w *table) StoreStatus(_ string, _ int, err error) {
 	w.mu.Lock()
@@ -119,7 +127,7 @@
 		time.Sleep(time.Second)
 		assert.Equal(t, w.String(), "map[b:2]")
 		s.mu.Lock()
-		s.rows = map[string]follower.Row{"c": {Key: "c", Value: []byte("3"), Version: 9}}
+		s.rows = map[string]follower.Row{"c": {Key: "c", Value: []byte("3"), Version: sequencer.New(0, 9)}}
 		s.version, s.floor = 9, 9
 		s.mu.Unlock()
 		time.Sleep(time.Second)
@@ -267,7 +275,7 @@
 	assert.Assert(t, ok && full)
 	other.Merge(p, full)
 	assert.Equal(t, second.String(), "map[a:1 c:3]")
-	p, full, ok = reader.SyncResponse(1, false)
+	p, full, ok = reader.SyncResponse(sequencer.New(0, 1), false)
 	assert.Assert(t, ok && !full && len(p.Rows) == 1, "%+v", p)
 }
 
@@ -275,10 +283,10 @@
 func TestOlderPagesAreIgnored(t *testing.T) {
 	w := newTable()
 	f := follower.New("t", newStore(), 0, w)
-	f.Merge(follower.Page{Version: 5, Rows: []follower.Row{{Key: "a", Value: []byte("new"), Version: 5}}}, true)
-	f.Merge(follower.Page{Version: 4, Rows: []follower.Row{{Key: "a", Value: []byte("old"), Version: 4}}}, true)
+	f.Merge(follower.Page{Version: sequencer.New(0, 5), Rows: []follower.Row{{Key: "a", Value: []byte("new"), Version: sequencer.New(0, 5)}}}, true)
+	f.Merge(follower.Page{Version: sequencer.New(0, 4), Rows: []follower.Row{{Key: "a", Value: []byte("old"), Version: sequencer.New(0, 4)}}}, true)
 	assert.Equal(t, w.String(), "map[a:new]")
-	assert.Equal(t, f.Version(), uint64(5))
+	assert.Equal(t, f.Version(), sequencer.New(0, 5))
 }
 
 // Guards against a fleet in which every host reads the store while nothing changes, because
@@ -293,7 +301,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go reader.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
-		p, full, _ := reader.SyncResponse(0, true)
+		p, full, _ := reader.SyncResponse(sequencer.New(0, 0), true)
 		other.Merge(p, full)
 		go other.Run(ctx)
 		for range 50 {
@@ -309,7 +317,7 @@
 		time.Sleep(3 * time.Second)
 		cancel()
 		synctest.Wait()
-		assert.Equal(t, other.Version(), uint64(2))
+		assert.Equal(t, other.Version(), sequencer.New(0, 2))
 	})
 }
 
@@ -331,13 +339,13 @@
 		time.Sleep(1500 * time.Millisecond)
 		_, full, ok := f.SyncRequest()
 		assert.Assert(t, ok && full)
-		f.Merge(follower.Page{Version: 7, TombstoneFloor: 3}, true)
+		f.Merge(follower.Page{Version: sequencer.New(0, 7), TombstoneFloor: sequencer.New(0, 3)}, true)
 		s.mu.Lock()
 		s.down, s.version = nil, 7
 		s.mu.Unlock()
 		time.Sleep(10 * time.Second)
 		version, full, ok := f.SyncRequest()
-		assert.Assert(t, ok && !full && version == 7)
+		assert.Assert(t, ok && !full && version == sequencer.New(0, 7))
 		cancel()
 		synctest.Wait()
 	})
@@ -360,7 +368,7 @@
 	pauses chan func()
 }
 
-func (s *pausing) Changes(ctx context.Context, table string, after uint64) (follower.Page, error) {
+func (s *pausing) Changes(ctx context.Context, table string, after sequencer.Version) (follower.Page, error) {
 	p, err := s.store.Changes(ctx, table, after)
 	select {
 	case pause := <-s.pauses:
@@ -409,9 +417,9 @@
 // was paused or partitioned: an upstream that had left was in use again.
 func TestInitialTableIsNewestOffered(t *testing.T) {
 	page := func(version uint64, age time.Duration, keys ...string) follower.Page {
-		p := follower.Page{Version: version, Age: age}
+		p := follower.Page{Version: sequencer.New(0, version), Age: age}
 		for _, k := range keys {
-			p.Rows = append(p.Rows, follower.Row{Key: k, Value: []byte("1"), Version: 1})
+			p.Rows = append(p.Rows, follower.Row{Key: k, Value: []byte("1"), Version: sequencer.New(0, 1)})
 		}
 		return p
 	}
@@ -434,7 +442,7 @@
 				begun := time.Now()
 				for _, p := range c.offers {
 					f.Merge(p, true)
-					if f.Version() > 0 {
+					if !f.Version().IsZero() {
 						break
 					}
 					time.Sleep(200 * time.Millisecond)
--- /dev/null
+++ b/internal/process/follower/restoration_test.go
@@ -0,0 +1,148 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/follower"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
+)
+
+// restore brings the store back from a copy, in the next era.
+func (s *store) restore(version uint64, rows map[string]follower.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era, s.version, s.rows = s.era+1, version, maps.Clone(rows)
+}
+
+// Guards against rows that a restored store lost and that have no effect before they could be
+// written again, against deleted ones that are back and in effect, and against exceptions that
+// outlive their time or a later write.
+func TestRestoredStoreIsBelievedAfterRewrites(t *testing.T) {
+	type step struct {
+		after time.Duration
+		act   func(s *store)
+		want  string
+	}
+	none := func(*store) {}
+	for name, steps := range map[string][]step{
+		"no more writes": {{0, none, "kept:1 lost:3"}, {1600 * time.Millisecond, none, "kept:1 lost:3"}, {600 * time.Millisecond, none, "kept:1"}, {4 * time.Second, none, "gone:2 kept:1"}},
+		"written again": {
+			{500 * time.Millisecond, func(s *store) { s.put("lost", "3"); s.put("gone", "") }, "kept:1 lost:3"},
+			{10 * time.Second, none, "kept:1 lost:3"},
+		},
+		"back for another reason": {{500 * time.Millisecond, func(s *store) { s.put("gone", "9") }, "gone:9 kept:1 lost:3"}},
+		"restored again": {
+			{time.Second, func(s *store) { s.put("more", "4") }, "kept:1 lost:3 more:4"},
+			{0, func(s *store) {
+				rows := maps.Clone(s.rows)
+				delete(rows, "more")
+				s.restore(3, rows)
+			}, "kept:1 lost:3 more:4"},
+			{1600 * time.Millisecond, none, "kept:1 lost:3 more:4"},
+			{600 * time.Millisecond, none, "kept:1"},
+			{4 * time.Second, none, "gone:2 kept:1"},
+		},
+		"deleted for good": {{time.Second, func(s *store) { s.put("kept", "") }, "lost:3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, w := newStore(), newTable()
+				s.put("kept", "1")
+				s.put("gone", "2")
+				copied := maps.Clone(s.rows)
+				f := follower.New("t", s, 100*time.Millisecond, w)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go f.Run(ctx)
+				time.Sleep(time.Second)
+				s.put("lost", "3")
+				s.put("gone", "")
+				time.Sleep(time.Second)
+				s.restore(2, copied)
+				time.Sleep(110 * time.Millisecond)
+				for i, step := range steps {
+					step.act(s)
+					time.Sleep(step.after + 110*time.Millisecond)
+					assert.Equal(t, w.String(), "map["+step.want+"]", "step %d", i)
+				}
+			})
+		})
+	}
+}
+
+// Guards against copies of an earlier era that reach a copy of a later one, and against a copy
+// of an earlier era that takes changes of a later one for its own.
+func TestErasAreNotMixed(t *testing.T) {
+	row := func(era, number uint64, value string) follower.Row {
+		return follower.Row{Key: "a", Value: []byte(value), Version: sequencer.New(era, number)}
+	}
+	page := func(era, number uint64, value string) follower.Page {
+		return follower.Page{Version: sequencer.New(era, number), Rows: []follower.Row{row(era, number, value)}}
+	}
+	f, w := newCopy(t, page(2, 5, "new"))
+	f.Merge(page(1, 90, "late"), true)
+	f.Merge(page(1, 91, "late"), false)
+	f.Merge(page(3, 4, "change"), false)
+	assert.Equal(t, w.String(), "map[a:new]")
+	old, _ := newCopy(t, page(1, 90, "old"))
+	_, _, ok := old.SyncResponse(f.Version(), true)
+	assert.Assert(t, !ok, "a copy of an earlier era has changes for a later one")
+	_, _, ok = f.SyncResponse(old.Version(), false)
+	assert.Assert(t, !ok, "changes were sent across eras")
+	p, full, ok := f.SyncResponse(old.Version(), true)
+	assert.Assert(t, ok && full)
+	old.Merge(p, full)
+	assert.Equal(t, old.Version(), f.Version())
+	f.Merge(page(3, 4, "restored"), true)
+	assert.Equal(t, w.String(), "map[a:restored]")
+}
+
+func newCopy(t *testing.T, p follower.Page) (*follower.Follower, *table) {
+	t.Helper()
+	w := newTable()
+	f := follower.New("t", nil, 0, w)
+	f.Merge(p, true)
+	return f, w
+}
+
+// eraStore is a store in a given era that has one row with the era as its value.
+type eraStore struct{ era uint64 }
+
+func (s *eraStore) Read(context.Context, string) (follower.Page, error) {
+	v := sequencer.New(s.era, 5)
+	return follower.Page{Version: v, Rows: []follower.Row{{Key: "era", Value: fmt.Append(nil, s.era), Version: v}}}, nil
+}
+
+func (s *eraStore) Changes(context.Context, string, sequencer.Version) (follower.Page, error) {
+	return follower.Page{Version: sequencer.New(s.era, 5)}, nil
+}
+
+// Guards against a store that states an earlier era, or none, and replaces the last good copy,
+// and against a host that doesn't follow it any more once it states a later one.
+func TestEarlierEraKeepsCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, w := &eraStore{era: 2}, newTable()
+		f := follower.New("t", s, 100*time.Millisecond, w)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		for _, era := range []uint64{1, 0} {
+			s.era = era
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, w.String(), "map[era:2]")
+			_, failing := f.ConfirmedSince(time.Now())
+			assert.Assert(t, failing)
+		}
+		s.era = 3
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, w.String(), "map[era:3]")
+	})
+}
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -69,7 +69,7 @@
 	AcceptFailed:           {zerolog.WarnLevel, "accept failed", "A listener could not accept a connection, for example because the process has no file descriptors left; it tries again."},
 	VersionAccepted:        {zerolog.InfoLevel, "version accepted", "A configuration version published through this host won its conditional write."},
 	VersionInstalled:       {zerolog.InfoLevel, "version installed", "The configuration version in the field version is in effect on this host. On `entry`, unconfirmed is the time since the store last confirmed the copy of the table without it."},
-	VersionRefused:         {zerolog.WarnLevel, "version refused", "A release note or a copy of a configuration version failed a check."},
+	VersionRefused:         {zerolog.WarnLevel, "version refused", "A release note or a copy of a configuration version failed a check, or, with the field installed, is older than the installed one."},
 	ZoneEvacuated:          {zerolog.InfoLevel, "zone evacuated", "The operator evacuated the zone, or restored it if evacuated is false; its upstreams get no new requests, or get requests again as cold upstreams."},
 	RegistrationInvalid:    {zerolog.WarnLevel, "registration invalid", "A registration in the store can't be read and names no upstream, even if it did before; other registrations are not affected."},
 	MemberChanged:          {zerolog.InfoLevel, "member changed", "The state or readiness of another host changed; state, accuser and reason give the new state and its cause."},
@@ -87,7 +87,7 @@
 	RequestRefused:         {zerolog.WarnLevel, "request refused", "A request got an error response of a kind that guarantees it did not run; kind, room and attempts give the reason, and cause, where given, says how the connection of its caller ended."},
 	StoreFailed:            {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again. On `entry`, the error tells whether the connection was in use before, and how long it was idle."},
 	StoreRecovered:         {zerolog.InfoLevel, "store recovered", "The store responds again; failures, where given, is the number of calls in a row that failed."},
-	StoreRestored:          {zerolog.WarnLevel, "store restored", "The store has the table as of an older version than this host: it came back from a copy. era counts how often that happened."},
+	StoreRestored:          {zerolog.WarnLevel, "store restored", "The store came back from an older copy; before and after are the versions of the table, each an era and a number. Rows that the store lacks (missing) stay in effect for 2 s, rows that were deleted and are back (returned) have no effect for 6 s, unless they are written again."},
 }
 
 func (e Event) catalogueEntry() catalogueEntry { return catalogue[e] }
--- a/internal/process/registrar/ratelimit_test.go
+++ b/internal/process/registrar/ratelimit_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 )
 
 // Guards against hosts that do not learn a rate limit from each other, and against old or
@@ -121,11 +122,11 @@
 			r.Put(again, at(2), false)
 		}, 0},
 		"removed and registered again": {func(r *registrar.Registrar, _ *registrar.Upstream) {
-			r.Remove("x", 2)
+			r.Remove("x", sequencer.New(0, 2))
 			r.Put(entry("x", 3), at(2), false)
 		}, 6},
 		"removed and restarted": {func(r *registrar.Registrar, _ *registrar.Upstream) {
-			r.Remove("x", 2)
+			r.Remove("x", sequencer.New(0, 2))
 			again := entry("x", 3)
 			again.StartUnixMilli = 2
 			r.Put(again, at(2), false)
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 )
 
 // maxSuspectTime bounds how long a suspect upstream counts as cold if no registration
@@ -30,7 +32,9 @@
 	Draining       bool
 	ColdRemaining  time.Duration // time until it is no longer cold
 	StartUnixMilli int64         // start time of the process, 0 if unknown
-	RowVersion     uint64        // version of the row in the store; later rows have higher versions
+	// Count is the number of registrations that the process had written with this one.
+	Count      uint64
+	RowVersion sequencer.Version // of the row in the store; later rows have later versions
 }
 
 // Group is an immutable view of the upstreams of one service that may get new requests.
@@ -115,13 +119,18 @@
 }
 
 // Put applies a registration that was read at now. A row version that is not above the
-// last applied one has no effect. firstRead marks rows of the first read of the table,
+// last applied one has no effect. In a later era of the store, the first row of an upstream may
+// be older than the one that was applied, and has no effect then. firstRead marks rows of the first read of the table,
 // whose upstreams have not necessarily just started.
 func (r *Registrar) Put(reg Registration, now time.Time, firstRead bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u := r.upstreams[reg.ID]
-	if u != nil && reg.RowVersion <= u.rowVersion {
+	if u != nil && !u.rowVersion.Before(reg.RowVersion) {
+		return
+	}
+	if u != nil && u.isOutdated(&reg) {
+		u.rowVersion = reg.RowVersion
 		return
 	}
 	changed := u == nil || u.draining != reg.Draining
@@ -138,7 +147,7 @@
 		r.upstreams[reg.ID] = u
 		changed = true
 	}
-	u.rowVersion = reg.RowVersion
+	u.rowVersion, u.count = reg.RowVersion, reg.Count
 	startsDraining := reg.Draining && !u.draining
 	u.draining = reg.Draining
 	if u.leaving && u.startUnixMilli != reg.StartUnixMilli {
@@ -156,11 +165,11 @@
 
 // Remove removes an upstream whose registration was deleted at the given row version. It
 // has no effect if a later row was applied.
-func (r *Registrar) Remove(id string, version uint64) {
+func (r *Registrar) Remove(id string, version sequencer.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u := r.upstreams[id]
-	if u == nil || version < u.rowVersion {
+	if u == nil || version.Before(u.rowVersion) {
 		return
 	}
 	delete(r.upstreams, id)
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -8,12 +8,13 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 )
 
 var zones = map[string]string{"a1": "a", "b1": "b"}
 
 func entry(id string, version uint64) registrar.Registration {
-	return registrar.Registration{ID: id, Service: "s", Address: id + ":80", Zone: "a1", Slots: 4, RowVersion: version, StartUnixMilli: 1}
+	return registrar.Registration{ID: id, Service: "s", Address: id + ":80", Zone: "a1", Slots: 4, RowVersion: sequencer.New(0, version), StartUnixMilli: 1}
 }
 
 func ids(r *registrar.Registrar) string {
@@ -41,7 +42,7 @@
 	assert.Equal(t, ids(r), "yz")
 	r.Put(entry("x", 2), now, false)
 	assert.Equal(t, ids(r), "yz")
-	r.Remove("y", 4)
+	r.Remove("y", sequencer.New(0, 4))
 	assert.Equal(t, ids(r), "z")
 	r.SetEvacuated("a1", true, now)
 	assert.Equal(t, ids(r), "")
@@ -188,14 +189,14 @@
 	before, untouched := r.Group("s"), r.Group("other")
 	commit, commitOuter := r.BeginBatch(), r.BeginBatch()
 	r.Put(entry("y", 2), now, false)
-	r.Remove("x", 3)
+	r.Remove("x", sequencer.New(0, 3))
 	commitOuter()
 	assert.Equal(t, r.Group("s"), before)
 	assert.Equal(t, ids(r), "x")
 	commit()
 	assert.Equal(t, ids(r), "y")
 	assert.Equal(t, r.Group("other"), untouched)
-	r.Remove("y", 4)
+	r.Remove("y", sequencer.New(0, 4))
 	assert.Assert(t, r.Group("s") == nil)
 	assert.DeepEqual(t, r.Services(), []string{"other"})
 }
@@ -268,9 +269,9 @@
 			r.Put(changed(2, func(reg *registrar.Registration) { reg.Address = "z:80" }), now, false)
 		}, "y"},
 		"restarted":            {func(r *registrar.Registrar) { r.Put(restarted, now, false) }, "xy"},
-		"removed":              {func(r *registrar.Registrar) { r.Remove("x", 2) }, "y"},
-		"removed and back":     {func(r *registrar.Registrar) { r.Remove("x", 2); r.Put(entry("x", 3), now, false) }, "y"},
-		"removed, restarted":   {func(r *registrar.Registrar) { r.Remove("x", 2); r.Put(restarted, now, false) }, "xy"},
+		"removed":              {func(r *registrar.Registrar) { r.Remove("x", sequencer.New(0, 2)) }, "y"},
+		"removed and back":     {func(r *registrar.Registrar) { r.Remove("x", sequencer.New(0, 2)); r.Put(entry("x", 3), now, false) }, "y"},
+		"removed, restarted":   {func(r *registrar.Registrar) { r.Remove("x", sequencer.New(0, 2)); r.Put(restarted, now, false) }, "xy"},
 		"late response":        {func(r *registrar.Registrar) { r.Put(restarted, now, false); r.MarkLeaving("x", 1) }, "xy"},
 		"response, then entry": {func(r *registrar.Registrar) { r.MarkLeaving("z", 1); r.Put(entry("z", 2), now, false) }, "y"},
 	} {
@@ -292,3 +293,38 @@
 		})
 	}
 }
+
+// Guards against a registration in a restored store that is older than what is known of the
+// process, and against a process that is left out because of one.
+func TestRegistrationOfRestoredStoreMayBeOutdated(t *testing.T) {
+	now := time.Now()
+	in := func(era, number uint64, start int64, count uint64, draining bool) registrar.Registration {
+		reg := entry("x", 1)
+		reg.RowVersion, reg.StartUnixMilli, reg.Count, reg.Draining = sequencer.New(era, number), start, count, draining
+		return reg
+	}
+	for name, c := range map[string]struct {
+		rows []registrar.Registration // after a process that started at 5 registered as draining with count 14
+		want string
+	}{
+		"older row":                     {[]registrar.Registration{in(2, 50, 5, 9, false)}, ""},
+		"same row":                      {[]registrar.Registration{in(2, 50, 5, 14, true)}, ""},
+		"later row":                     {[]registrar.Registration{in(2, 50, 5, 15, false)}, "x"},
+		"older row, then a later one":   {[]registrar.Registration{in(2, 50, 5, 9, false), in(2, 61, 5, 15, false)}, "x"},
+		"earlier process":               {[]registrar.Registration{in(2, 50, 4, 99, false)}, ""},
+		"earlier process, then it runs": {[]registrar.Registration{in(2, 50, 4, 99, false), in(2, 61, 4, 100, false)}, "x"},
+		"later process":                 {[]registrar.Registration{in(2, 50, 6, 1, false)}, "x"},
+		"unknown start":                 {[]registrar.Registration{in(2, 50, 0, 9, false)}, "x"},
+		"same era":                      {[]registrar.Registration{in(1, 91, 5, 9, false)}, "x"},
+		"late row of the earlier era":   {[]registrar.Registration{in(2, 50, 5, 14, true), in(1, 91, 5, 15, false)}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(zones)
+			r.Put(in(1, 90, 5, 14, true), now, true)
+			for _, reg := range c.rows {
+				r.Put(reg, now, false)
+			}
+			assert.Equal(t, ids(r), c.want)
+		})
+	}
+}
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 )
 
 const (
@@ -52,8 +54,9 @@
 	inFlight    atomic.Int64
 	rateLimited atomic.Bool // whether limit holds a rate limit
 
-	// rowVersion, draining and leaving are guarded by Registrar.mu.
-	rowVersion uint64
+	// rowVersion, count, draining and leaving are guarded by Registrar.mu.
+	rowVersion sequencer.Version
+	count      uint64 // of the registrations of its process
 	draining   bool
 	leaving    bool // the process said in a response that it is leaving
 
@@ -86,7 +89,7 @@
 func (u *Upstream) inheritState(old *Upstream) {
 	old.mu.Lock()
 	defer old.mu.Unlock()
-	u.rowVersion, u.draining = old.rowVersion, old.draining
+	u.rowVersion, u.count, u.draining = old.rowVersion, old.count, old.draining
 	u.leaving = old.leaving && u.startUnixMilli == old.startUnixMilli
 	u.coldUntil, u.suspectSince, u.nextColdRequest = old.coldUntil, old.suspectSince, old.nextColdRequest
 	if u.startUnixMilli == old.startUnixMilli {
@@ -139,6 +142,16 @@
 // Hash returns the hash of its ID.
 func (u *Upstream) Hash() uint64 { return u.hash }
 
+// isOutdated reports whether a registration from another era of the store is not later than
+// the one that was applied: it is from an earlier process, or the same process had written as
+// many by then. Registrar.mu must be held.
+func (u *Upstream) isOutdated(reg *Registration) bool {
+	if reg.RowVersion.Era() == u.rowVersion.Era() || reg.StartUnixMilli == 0 || u.startUnixMilli == 0 {
+		return false
+	}
+	return reg.StartUnixMilli < u.startUnixMilli || (reg.StartUnixMilli == u.startUnixMilli && reg.Count <= u.count)
+}
+
 // applyRegistration updates the state from a registration. A new start time resets what
 // was observed of the earlier process.
 func (u *Upstream) applyRegistration(reg Registration, now time.Time, firstRead bool) {
--- a/internal/request/ranker/fleet_test.go
+++ b/internal/request/ranker/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
 	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
@@ -184,7 +185,7 @@
 	f.rowVersion++
 	for u := range f.load.upstreams {
 		reg := registrar.Registration{
-			ID: fmt.Sprintf("u%d", u), Service: "s", Zone: fleetRegions[u%len(fleetRegions)], Slots: 9, RowVersion: f.rowVersion,
+			ID: fmt.Sprintf("u%d", u), Service: "s", Zone: fleetRegions[u%len(fleetRegions)], Slots: 9, RowVersion: sequencer.New(0, f.rowVersion),
 		}
 		if f.coldAt(u) {
 			reg.ColdRemaining = f.start.Add(limitsEnd).Sub(f.now)
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 )
 
@@ -140,7 +141,7 @@
 		for u := range l.upstreams {
 			id := fmt.Sprintf("u%d", u)
 			s.index[id] = u
-			r.Put(registrar.Registration{ID: id, Service: "prices", Address: id, Zone: "z", Slots: l.slots, RowVersion: 1}, now, true)
+			r.Put(registrar.Registration{ID: id, Service: "prices", Address: id, Zone: "z", Slots: l.slots, RowVersion: sequencer.New(0, 1)}, now, true)
 		}
 		s.hosts[i] = &host{r, ranker.New("r"), rand.New(rand.NewPCG(uint64(i), 3)), l}
 	}
@@ -275,7 +276,7 @@
 		r := registrar.New(map[string]string{"z": "r"})
 		for u := range 10 {
 			if u != without {
-				r.Put(registrar.Registration{ID: fmt.Sprintf("u%d", u), Service: "s", Address: "a", Zone: "z", Slots: 4, RowVersion: 1}, now, true)
+				r.Put(registrar.Registration{ID: fmt.Sprintf("u%d", u), Service: "s", Address: "a", Zone: "z", Slots: 4, RowVersion: sequencer.New(0, 1)}, now, true)
 			}
 		}
 		return r
@@ -304,7 +305,7 @@
 func TestQueueWaitIsBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := registrar.New(map[string]string{"z": "r"})
-	r.Put(registrar.Registration{ID: "u", Service: "s", Address: "a", Zone: "z", Slots: 2, RowVersion: 1}, now, true)
+	r.Put(registrar.Registration{ID: "u", Service: "s", Address: "a", Zone: "z", Slots: 2, RowVersion: sequencer.New(0, 1)}, now, true)
 	u := r.Group("s").Upstreams()[0]
 	rk := ranker.New("r")
 	q := ranker.Query{Group: r.Group("s"), Regions: []string{"r"}, Weights: []float64{1}, Object: 7, Remaining: 2 * time.Second, LatencyTarget: 400 * time.Millisecond}
@@ -338,7 +339,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := registrar.New(map[string]string{"z": "r"})
 			for _, id := range []string{"a", "b", "c"} {
-				r.Put(registrar.Registration{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, RowVersion: 1}, now, true)
+				r.Put(registrar.Registration{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, RowVersion: sequencer.New(0, 1)}, now, true)
 			}
 			q := ranker.Query{Group: r.Group("s"), Regions: []string{"r"}, Weights: []float64{1}, Object: 7, Route: "quotes", Remaining: c.left, LatencyTarget: time.Second}
 			choice := rk.Choose(now, "s", &q)
@@ -357,7 +358,7 @@
 func TestSlowRouteDoesNotExcludeOthers(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := registrar.New(map[string]string{"z": "r"})
-	r.Put(registrar.Registration{ID: "a", Service: "s", Address: "a", Zone: "z", Slots: 4, RowVersion: 1}, now, true)
+	r.Put(registrar.Registration{ID: "a", Service: "s", Address: "a", Zone: "z", Slots: 4, RowVersion: sequencer.New(0, 1)}, now, true)
 	rk := ranker.New("r")
 	for range 200 {
 		rk.ObserveResponse(now, "s", "slow", false, "r", 3*time.Second)
@@ -388,7 +389,7 @@
 func TestColdUpstreamRateIsLimited(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := registrar.New(map[string]string{"z": "r"})
-	r.Put(registrar.Registration{ID: "u", Service: "s", Address: "a", Zone: "z", Slots: 8, ColdRemaining: 3 * time.Second, RowVersion: 1}, now, false)
+	r.Put(registrar.Registration{ID: "u", Service: "s", Address: "a", Zone: "z", Slots: 8, ColdRemaining: 3 * time.Second, RowVersion: sequencer.New(0, 1)}, now, false)
 	rk := ranker.New("r")
 	sent := 0
 	for i := range 100 {
@@ -411,7 +412,7 @@
 			now := time.Unix(1000, 0)
 			r := registrar.New(map[string]string{"z0": "r0", "z1": "r1", "z2": "r2"})
 			for u := range n {
-				r.Put(registrar.Registration{ID: fmt.Sprintf("u%d", u), Service: "s", Address: "a", Zone: fmt.Sprintf("z%d", u%3), Slots: 9, RowVersion: 1}, now, true)
+				r.Put(registrar.Registration{ID: fmt.Sprintf("u%d", u), Service: "s", Address: "a", Zone: fmt.Sprintf("z%d", u%3), Slots: 9, RowVersion: sequencer.New(0, 1)}, now, true)
 			}
 			rk := ranker.New("r0")
 			q := ranker.Query{
--- a/internal/request/steerer/head_test.go
+++ b/internal/request/steerer/head_test.go
@@ -22,6 +22,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
@@ -115,7 +116,7 @@
 func (g *cutHost) prepare(text string, end error) (closeSender func()) {
 	reg := registrar.New(map[string]string{"z": "r"})
 	for i := range 2 {
-		reg.Put(registrar.Registration{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprint(i), Zone: "z", Slots: 4, RowVersion: 1}, time.Now(), true)
+		reg.Put(registrar.Registration{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprint(i), Zone: "z", Slots: 4, RowVersion: sequencer.New(0, 1)}, time.Now(), true)
 	}
 	var mu sync.Mutex
 	next := &cutConn{requests: &g.requests, text: text, end: end}
--- a/internal/request/steerer/refusal_test.go
+++ b/internal/request/steerer/refusal_test.go
@@ -15,6 +15,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 )
 
 // matchID compares the IDs of a request and a response like the host does.
@@ -231,7 +232,7 @@
 		}
 	})
 	g.remove(g.second.id)
-	g.register(registrar.Registration{ID: "9", Service: "s", Address: g.first.address, Zone: "z", Slots: 4, RowVersion: 3})
+	g.register(registrar.Registration{ID: "9", Service: "s", Address: g.first.address, Zone: "z", Slots: 4, RowVersion: sequencer.New(0, 3)})
 	assert.Equal(t, g.sendOnce("2"), 200)
 	assert.Equal(t, g.first.ran.Load(), int64(1))
 	assert.Equal(t, g.second.received.Load(), int64(0))
@@ -340,7 +341,7 @@
 			g := newTestHost(t, func(_, _ *upstream) {})
 			refuse := respondStatus(g.first, 503, "Not-Run")
 			g.first.handle = func(w http.ResponseWriter, r *http.Request) {
-				g.register(registrar.Registration{ID: g.first.id, Service: "s", Address: g.first.address, Zone: "z", Slots: 5, RowVersion: 3})
+				g.register(registrar.Registration{ID: g.first.id, Service: "s", Address: g.first.address, Zone: "z", Slots: 5, RowVersion: sequencer.New(0, 3)})
 				refuse(w, r)
 			}
 			g.watchdog.pauseBefore = c.pauseBefore
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -25,6 +25,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/recoverer"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
+	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
@@ -192,7 +193,7 @@
 		t.Cleanup(server.Close)
 		u.address = strings.TrimPrefix(server.URL, "http://")
 		reg.Put(registrar.Registration{
-			ID: fmt.Sprint(i), Service: "s", Address: u.address, Zone: "z", Slots: 4, RowVersion: 1,
+			ID: fmt.Sprint(i), Service: "s", Address: u.address, Zone: "z", Slots: 4, RowVersion: sequencer.New(0, 1),
 		}, time.Now(), true)
 		ups = append(ups, u)
 	}
@@ -234,7 +235,7 @@
 	g.first.received.Store(0)
 	g.first.ran.Store(0)
 	setHandlers(g.first, g.second)
-	g.remove = func(id string) { reg.Remove(id, 2) }
+	g.remove = func(id string) { reg.Remove(id, sequencer.New(0, 2)) }
 	g.group = func() *registrar.Group { return reg.Group("s") }
 	g.register = func(r registrar.Registration) { reg.Put(r, time.Now(), true) }
 	return g
