Refuse requests that are read to their end after the acceptance of a stop

An operator of a similar system reported requests that came late in the grace period of a planned stop and were cut off at its end. Here a request whose reading began before the acceptance ended (3 s after the signal) was passed on up to the middle of the rest, 4.2 s of 6 s, and cut off if its upstream took longer than the time left. It is now refused as not run 0.2 s after the last connection was accepted, so that the caller can go to another host.

The new cases of TestShutdownRefusesRequestThatCompletesLate failed before (the requests were served); the cases that were there are unchanged.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -238,9 +238,10 @@
 // DisableKeepAlives, accepts the connections in the accept queue, closes the listener,
 // closes connections that have been idle for a short time, and returns when all
 // connections are closed or ctx is done. From its call on, each connection closes after the
-// response to its next request, whatever has arrived behind it. A request that has not been read
-// to its end in the first half of the time until the deadline of ctx is refused with status 503.
-// Serve returns during the call.
+// response to its next request, whatever has arrived behind it. If ctx has a deadline, a request
+// is refused with status 503 that has not been read to its end in the first half of the time
+// until then, or soon after the last connection was accepted. It would be cut off if its upstream
+// took longer than what is left. Serve returns during the call.
 func (a *Acceptor) Shutdown(ctx context.Context, l Listener) {
 	a.DisableKeepAlives()
 	a.shuttingDown.Store(true)
@@ -256,6 +257,7 @@
 	case <-ctx.Done():
 	}
 	_ = l.Close()
+	a.limitReading(time.Now().Add(minIdleBeforeClose))
 	ticker := time.NewTicker(idlePollInterval)
 	defer ticker.Stop()
 	for a.closeIdle(time.Now()) > 0 {
@@ -268,6 +270,14 @@
 	a.wg.Wait()
 }
 
+// limitReading makes requests be refused that have not been read to their end by a time, if
+// there is such a time already and it is later.
+func (a *Acceptor) limitReading(end time.Time) {
+	if old := a.readEnd.Load(); old != 0 {
+		a.readEnd.Store(min(old, end.UnixNano()))
+	}
+}
+
 // closeIdle closes the connections without a request in flight or arriving, and returns
 // the number of connections that were open. A request that crosses the close in transit
 // has not been read.
--- a/internal/connection/acceptor/shutdown_test.go
+++ b/internal/connection/acceptor/shutdown_test.go
@@ -365,6 +365,33 @@
 		"header": "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n",
 		"body":   "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy",
 	} {
+		t.Run(name+" after the acceptance", func(t *testing.T) {
+			h := newHandler()
+			a, l, dial := startWithListener(t, h)
+			c := dial()
+			send(t, c, text[:len(text)-1])
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				a.Shutdown(ctx, l)
+			}()
+			// A connection can't be opened any more once the acceptance has ended.
+			for {
+				other, err := net.Dial("tcp", l.Addr().String())
+				if err != nil {
+					break
+				}
+				_ = other.Close()
+			}
+			time.Sleep(time.Second)
+			send(t, c, text[len(text)-1:])
+			r, _ := readResponse(t, bufio.NewReader(c))
+			assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, h.servedPaths(), "")
+			<-stopped
+		})
 		t.Run(name, func(t *testing.T) {
 			h := newHandler()
 			a, l, dial := startWithListener(t, h)
