--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -89,10 +89,13 @@
 	if !ok {
 		return
 	}
-	if old := c.table.Load(); old != nil && t.Version() < old.Version() {
+	old := c.table.Load()
+	switch {
+	case old == nil || t.Version() > old.Version():
+	case t.Version() < old.Version():
 		c.log.Event(logger.VersionRefused).Uint64("version", t.Version()).Uint64("installed", old.Version()).Stringer("row", r.Version).Send()
 		return
-	} else if old != nil && t.Version() == old.Version() && bytes.Equal(r.Value, c.installedValue) {
+	case bytes.Equal(r.Value, c.installedValue):
 		return
 	}
 	c.installedValue = r.Value
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -100,8 +100,8 @@
 }
 
 // OnLeave sets the function that is called when an upstream begins to drain, says that it is
-// leaving, or its registration is removed. It must be called before the first Put. f must not call the
-// Registrar.
+// leaving, or its registration is removed. It must be called before the first Put. f must not
+// call the Registrar.
 func (r *Registrar) OnLeave(f func(u *Upstream, reason string)) { r.onLeave = f }
 
 // Group returns the upstreams of a service that may get new requests, or nil for an
@@ -120,8 +120,8 @@
 
 // Put applies a registration that was read at now. A row version that is not above the
 // last applied one has no effect. In a later era of the store, the first row of an upstream may
-// be older than the one that was applied, and has no effect then. firstRead marks rows of the first read of the table,
-// whose upstreams have not necessarily just started.
+// be older than the one that was applied, and has no effect then. firstRead marks rows of the
+// first read of the table, whose upstreams have not necessarily just started.
 func (r *Registrar) Put(reg Registration, now time.Time, firstRead bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
