--- a/internal/process/conductor/rows_internal_test.go
+++ b/internal/process/conductor/rows_internal_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,10 +114,11 @@
 // version. It records announced hosts.
 type versionPlatform struct {
 	textPlatform
+	mu    sync.Mutex
 	hosts []Host
 }
 
-func (versionPlatform) ParseConfiguration(r follower.Row) (*matcher.Table, bool, error) {
+func (*versionPlatform) ParseConfiguration(r follower.Row) (*matcher.Table, bool, error) {
 	var version uint64
 	if _, err := fmt.Sscan(string(r.Value), &version); err != nil {
 		return nil, false, err
@@ -124,9 +127,22 @@
 	return t, err == nil, err
 }
 
-func (p *versionPlatform) Hosts(context.Context) ([]Host, error) { return p.hosts, nil }
+func (p *versionPlatform) Hosts(context.Context) ([]Host, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.hosts), nil
+}
+
+// lose removes the recorded hosts.
+func (p *versionPlatform) lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = nil
+}
 
 func (p *versionPlatform) Announce(_ context.Context, h Host) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.hosts = append(p.hosts, h)
 	return nil
 }
@@ -161,10 +177,13 @@
 		defer cancel()
 		go c.announce(ctx)
 		time.Sleep(time.Minute)
-		assert.DeepEqual(t, p.hosts, []Host{{"h", "10.0.0.1:7000"}})
-		p.hosts = nil
-		time.Sleep(2 * time.Minute)
-		assert.DeepEqual(t, p.hosts, []Host{{"h", "10.0.0.1:7000"}})
+		for range 2 {
+			hosts, err := p.Hosts(ctx)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, hosts, []Host{{"h", "10.0.0.1:7000"}})
+			p.lose()
+			time.Sleep(2 * time.Minute)
+		}
 	})
 }
 
--- a/internal/process/follower/restoration_test.go
+++ b/internal/process/follower/restoration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,12 @@
 	s.era, s.version, s.rows = s.era+1, version, maps.Clone(rows)
 }
 
+func (s *store) copyRows() map[string]follower.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.rows)
+}
+
 // Guards against rows that a restored store lost and that have no effect before they could be
 // written again, against deleted ones that are back and in effect, and against exceptions that
 // outlive their time or a later write.
@@ -41,7 +48,7 @@
 		"restored again": {
 			{time.Second, func(s *store) { s.put("more", "4") }, "kept:1 lost:3 more:4"},
 			{0, func(s *store) {
-				rows := maps.Clone(s.rows)
+				rows := s.copyRows()
 				delete(rows, "more")
 				s.restore(3, rows)
 			}, "kept:1 lost:3 more:4"},
@@ -56,7 +63,7 @@
 				s, w := newStore(), newTable()
 				s.put("kept", "1")
 				s.put("gone", "2")
-				copied := maps.Clone(s.rows)
+				copied := s.copyRows()
 				f := follower.New("t", s, 100*time.Millisecond, w)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
@@ -113,35 +120,36 @@
 }
 
 // eraStore is a store in a given era that has one row with the era as its value.
-type eraStore struct{ era uint64 }
+type eraStore struct{ era atomic.Uint64 }
 
 func (s *eraStore) Read(context.Context, string) (follower.Page, error) {
-	v := sequencer.New(s.era, 5)
-	return follower.Page{Version: v, Rows: []follower.Row{{Key: "era", Value: fmt.Append(nil, s.era), Version: v}}}, nil
+	v := sequencer.New(s.era.Load(), 5)
+	return follower.Page{Version: v, Rows: []follower.Row{{Key: "era", Value: fmt.Append(nil, v.Era()), Version: v}}}, nil
 }
 
 func (s *eraStore) Changes(context.Context, string, sequencer.Version) (follower.Page, error) {
-	return follower.Page{Version: sequencer.New(s.era, 5)}, nil
+	return follower.Page{Version: sequencer.New(s.era.Load(), 5)}, nil
 }
 
 // Guards against a store that states an earlier era, or none, and replaces the last good copy,
 // and against a host that doesn't follow it any more once it states a later one.
 func TestEarlierEraKeepsCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, w := &eraStore{era: 2}, newTable()
+		s, w := new(eraStore), newTable()
+		s.era.Store(2)
 		f := follower.New("t", s, 100*time.Millisecond, w)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go f.Run(ctx)
 		time.Sleep(time.Second)
 		for _, era := range []uint64{1, 0} {
-			s.era = era
+			s.era.Store(era)
 			time.Sleep(5 * time.Second)
 			assert.Equal(t, w.String(), "map[era:2]")
 			_, failing := f.ConfirmedSince(time.Now())
 			assert.Assert(t, failing)
 		}
-		s.era = 3
+		s.era.Store(3)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, w.String(), "map[era:3]")
 	})
