Wait for the end of a request's body before its handler returns (serve)

Its goroutines show the cause: the read of the last bytes of a body marks it as complete and then removes the read deadline, while the handler ends and the server has just set one to end its own read, for which it then waits for ever. The caller's connection hangs.

The handler now also waits for a read that has marked the body as complete. TestStopWaitsForEndOfBody fails before. entry is not affected.

--- a/internal/request/forwarder/body.go
+++ b/internal/request/forwarder/body.go
@@ -88,14 +88,13 @@
 	return errors.Is(u.err(), os.ErrDeadlineExceeded)
 }
 
-// stop ends the use of the body. After it returns, nothing reads the body.
+// stop ends the use of the body. After it returns, nothing reads the body or sets its deadline.
 func (u *upload) stop() {
-	if u.complete.Load() {
-		return
-	}
-	u.ended.Store(true)
-	if u.readStarted.Load() {
-		_ = u.control.SetReadDeadline(time.Unix(1, 0)) // ends a Read in progress
+	if !u.complete.Load() {
+		u.ended.Store(true)
+		if u.readStarted.Load() {
+			_ = u.control.SetReadDeadline(time.Unix(1, 0)) // ends a Read in progress
+		}
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
