--- a/review/_standin/rig/client.go
+++ b/review/_standin/rig/client.go
@@ -23,7 +23,8 @@
 // conn is a client's connection.
 type conn struct {
 	net.Conn
-	br *bufio.Reader
+	br   *bufio.Reader
+	host string // of its requests
 }
 
 func dial(address string) (*conn, error) {
@@ -31,19 +32,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{c, bufio.NewReader(c)}, nil
+	return &conn{c, bufio.NewReader(c), defaultHost}, nil
 }
 
+// defaultHost is the host of the routes that all versions have.
+const defaultHost = "shop.example"
+
 // head returns the head of a request up to its framing fields.
-func head(method, path, id string, deadline time.Duration) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop.example\r\nDandeliontrack-Request-Id: %s\r\nDandeliontrack-Deadline-Ms: %d\r\nCookie: Dandeliontrack-Affinity-Key=%d\r\n",
-		method, path, id, deadline.Milliseconds(), len(id)%7)
+func head(host, method, path, id string, deadline time.Duration) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nDandeliontrack-Request-Id: %s\r\nDandeliontrack-Deadline-Ms: %d\r\nCookie: Dandeliontrack-Affinity-Key=%d\r\n",
+		method, path, host, id, deadline.Milliseconds(), len(id)%7)
 }
 
 // send writes a request. A body is sent in chunks if chunked is set.
 func (c *conn) send(method, path, id string, deadline time.Duration, body []byte, chunked bool) error {
 	_ = c.SetDeadline(time.Now().Add(deadline))
-	h := head(method, path, id, deadline)
+	h := head(c.host, method, path, id, deadline)
 	if !chunked {
 		if method != http.MethodGet {
 			h += fmt.Sprintf("Content-Length: %d\r\n", len(body))
--- a/review/_standin/rig/uploads.go
+++ b/review/_standin/rig/uploads.go
@@ -70,22 +70,31 @@
 }
 
 // configure writes a configuration with the routes of a small site.
-func (r *rig) configure(version int) {
+func (r *rig) configure(version int) { r.configureHost(version, "") }
+
+// configureHost writes a configuration that also has a route for another host, unless its
+// name is empty.
+func (r *rig) configureHost(version int, otherHost string) {
+	host := defaultHost
 	route := func(name, prefix, kind, service string, timeout string) map[string]any {
 		return map[string]any{
-			"Name": name, "Host": "shop.example", "Prefix": prefix, "RouteType": kind, "Timeout": timeout, "TargetLatency": "400ms", "Priority": 1,
+			"Name": name, "Host": host, "Prefix": prefix, "RouteType": kind, "Timeout": timeout, "TargetLatency": "400ms", "Priority": 1,
 			"Service": service, "MaxAttempts": 2, "Sticky": true, "AllowedRegions": []string{},
 		}
 	}
 	service := func(name string) map[string]any {
 		return map[string]any{"Name": name, "HealthPath": "/healthz", "MaxConns": 330, "Protocol": "h1", "Tls": false, "ColdStart": "3s", "ColdPerS": 19.0}
 	}
+	routes := []any{
+		route("r-look", "/look/", "safe", "catalog", "2000ms"), route("r-order", "/order/", "unsafe", "orderbook", "2500ms"),
+		route("r-pack", "/pack/", "download", "docvault", "1500ms"),
+	}
+	if host = otherHost; host != "" {
+		routes = append(routes, route("r-other", "/order/", "unsafe", "orderbook", "2500ms"))
+	}
 	r.store.put("op", "config", map[string]any{
-		"Version": fmt.Sprintf("r%d", version),
-		"Routes": []any{
-			route("r-look", "/look/", "safe", "catalog", "2000ms"), route("r-order", "/order/", "unsafe", "orderbook", "2500ms"),
-			route("r-pack", "/pack/", "download", "docvault", "1500ms"),
-		},
+		"Version":  fmt.Sprintf("r%d", version),
+		"Routes":   routes,
 		"Services": []any{service("catalog"), service("orderbook"), service("docvault")},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeout": "3000ms", "IdleTimeout": "15000ms"},
 	})
