--- a/review/_standin/rig/uploads.go
+++ b/review/_standin/rig/uploads.go
@@ -14,7 +14,7 @@
 const (
 	uploadBytes     = 40 << 20
 	smallBodyBytes  = 300
-	uploadsAtOnce   = 2 // at each host
+	uploadsAtOnce   = 4 // at each host
 	uploadDeadline  = 2500 * time.Millisecond
 	uploadDuration  = 60 * time.Second
 	uploadPause     = 300 * time.Millisecond
