--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -195,15 +195,23 @@
 		Handler: requests, Limits: c.acceptorLimits, Concurrent: requests.Repeatable, Memory: memory, Guard: c.recoverer.Do,
 		AcceptFailed: c.logAcceptError,
 	})
-	c.followers = map[string]*follower.Follower{
-		p.UpstreamTable(): follower.New(p.UpstreamTable(), p, minUpstreamReadInterval, c),
-		p.OperatorTable(): follower.New(p.OperatorTable(), p, 0, c),
-	}
-	c.followers[p.UpstreamTable()].SetEquivalent(p.SameRegistration)
-	for _, f := range c.followers {
+	c.followers = c.newFollowers()
+	return c, nil
+}
+
+// newFollowers returns the followers of the tables that other programs write, by table. After a
+// restoration of the store, a row of the operator takes effect at once: an evacuation that
+// began again must not wait, and one that was taken back costs little until its writer repairs
+// the store. An upstream that has left must not get requests again.
+func (c *Conductor) newFollowers() map[string]*follower.Follower {
+	upstreams := follower.New(c.platform.UpstreamTable(), c.platform, minUpstreamReadInterval, c)
+	upstreams.SetEquivalent(c.platform.SameRegistration)
+	upstreams.SetHoldBack(c.mayHaveLeft)
+	operator := follower.New(c.platform.OperatorTable(), c.platform, 0, c)
+	for _, f := range []*follower.Follower{upstreams, operator} {
 		f.SetReadCondition(c.isReader)
 	}
-	return c, nil
+	return map[string]*follower.Follower{upstreams.Table(): upstreams, operator.Table(): operator}
 }
 
 // matchResponse compares the request ID of a response with that of its request.
--- a/internal/process/conductor/pause_internal_test.go
+++ b/internal/process/conductor/pause_internal_test.go
@@ -29,9 +29,10 @@
 // discardWatcher is a follower.Watcher that ignores all calls.
 type discardWatcher struct{}
 
-func (discardWatcher) RowsChanged(string, []follower.Row, time.Duration, bool)              {}
-func (discardWatcher) StoreRestored(string, sequencer.Version, sequencer.Version, int, int) {}
-func (discardWatcher) StoreStatus(string, int, error)                                       {}
+func (discardWatcher) RowsChanged(string, []follower.Row, time.Duration, bool) {}
+func (discardWatcher) StoreRestored(string, sequencer.Version, sequencer.Version, []string, []string) {
+}
+func (discardWatcher) StoreStatus(string, int, error) {}
 
 // Guards against a host that waits forever after a pause because neither the store nor
 // another host responds, and against one that continues before its state was confirmed.
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +15,9 @@
 // logs each change of an invalid row.
 const maxLoggedErrorBytes = 256
 
+// maxLoggedKeys bounds the keys in one line of the log.
+const maxLoggedKeys = 8
+
 // shortText returns the beginning of the text of an error.
 func shortText(err error) string {
 	text := err.Error()
@@ -46,9 +50,23 @@
 }
 
 // StoreRestored implements follower.Watcher.
-func (c *Conductor) StoreRestored(table string, before, after sequencer.Version, missing, returned int) {
+func (c *Conductor) StoreRestored(table string, before, after sequencer.Version, missing, returned []string) {
 	c.log.Event(logger.StoreRestored).Str("table", table).Stringer("before", before).Stringer("after", after).
-		Int("missing", missing).Int("returned", returned).Send()
+		Int("missing", len(missing)).Strs("missing_keys", firstKeys(missing)).
+		Int("returned", len(returned)).Strs("returned_keys", firstKeys(returned)).Send()
+}
+
+// firstKeys returns the first keys in order, as many as are logged.
+func firstKeys(keys []string) []string {
+	slices.Sort(keys)
+	return keys[:min(len(keys), maxLoggedKeys)]
+}
+
+// mayHaveLeft reports whether a row of the table of upstreams that a restored store brought back
+// may be of an upstream that has left. It isn't if a later process wrote the row.
+func (c *Conductor) mayHaveLeft(r follower.Row) bool {
+	reg, err := c.platform.ParseRegistration(r)
+	return err == nil && !c.registrar.HasSuccessor(reg.ID, reg.StartUnixMilli)
 }
 
 // applyRegistration applies a row of the table of upstreams. An invalid row is logged. It
--- a/internal/process/conductor/rows_internal_test.go
+++ b/internal/process/conductor/rows_internal_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -204,3 +205,67 @@
 	assert.Equal(t, out[0].Era, uint64(2))
 	assert.Equal(t, len(host(1).syncResponse(&framer.Sync{Tables: []*framer.TableVersion{{Table: "upstreams", Era: 2, Version: 1}}}).Tables), 0)
 }
+
+// restoredPlatform is a textPlatform whose registrations are the start times of processes. The
+// key of an evacuation is "evacuate/" and the zone.
+type restoredPlatform struct{ textPlatform }
+
+func (restoredPlatform) OperatorTable() string { return "op" }
+
+func (restoredPlatform) SameRegistration(old, changed []byte) bool { return bytes.Equal(old, changed) }
+
+func (restoredPlatform) EvacuatedZone(key string) (string, bool) {
+	return strings.CutPrefix(key, "evacuate/")
+}
+
+func (restoredPlatform) ParseRegistration(r follower.Row) (registrar.Registration, error) {
+	start, err := strconv.ParseInt(string(r.Value), 10, 64)
+	return registrar.Registration{
+		ID: r.Key, Service: "s", Address: "10.0.0.9:80", Zone: "a1", Slots: 1, StartUnixMilli: start, RowVersion: r.Version,
+	}, err
+}
+
+// Guards against an evacuation that has no effect, and against a process that has started and
+// gets no requests, because a row with the same key was deleted before the store was restored.
+// One that may have left gets no requests.
+func TestRowWithDeletedKeyAfterRestoration(t *testing.T) {
+	for name, c := range map[string]struct {
+		table, key, before, after string
+		inUse                     string // upstreams that get requests after the restoration
+	}{
+		"evacuation":             {"op", "evacuate/a1", "", "", "[]"},
+		"process that left":      {"upstreams", "b", "5", "5", "[a]"},
+		"earlier process":        {"upstreams", "b", "5", "4", "[a]"},
+		"later process":          {"upstreams", "b", "5", "6", "[a b]"},
+		"unknown start":          {"upstreams", "b", "0", "0", "[a]"},
+		"start not known before": {"upstreams", "b", "0", "6", "[a]"},
+		"no registration":        {"upstreams", "b", "5", "odd", "[a]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newRowConductor()
+			h.platform = restoredPlatform{}
+			followers := h.newFollowers()
+			page := func(era, number uint64, rows ...follower.Row) follower.Page {
+				for i := range rows {
+					rows[i].Version = sequencer.New(era, number)
+				}
+				return follower.Page{Version: sequencer.New(era, number), Rows: rows}
+			}
+			other := follower.Row{Key: "a", Value: []byte("1")}
+			followers["upstreams"].Merge(page(1, 1, other), true)
+			f := followers[c.table]
+			if c.table == "op" {
+				f.Merge(page(1, 1), true)
+			}
+			f.Merge(page(1, 2, follower.Row{Key: c.key, Value: []byte(c.before)}), false)
+			f.Merge(page(1, 3, follower.Row{Key: c.key, Deleted: true}), false)
+			assert.Equal(t, fmt.Sprint(upstreamIDs(h)), "[a]")
+			rows := []follower.Row{{Key: c.key, Value: []byte(c.after)}}
+			if c.table == "upstreams" {
+				rows = append(rows, other)
+			}
+			f.Merge(page(2, 2, rows...), true)
+			assert.Equal(t, fmt.Sprint(upstreamIDs(h)), c.inUse)
+		})
+	}
+}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -82,8 +82,9 @@
 	// succeed again after a number of failures.
 	StoreStatus(table string, failures int, err error)
 	// StoreRestored reports that the store came back from an older copy: the versions of the
-	// copy before and after, and the numbers of rows that the store lacks and that are back.
-	StoreRestored(table string, before, after sequencer.Version, missing, returned int)
+	// copy before and after, and the keys of the rows that stay in effect though the store
+	// lacks them, and of those that are held back.
+	StoreRestored(table string, before, after sequencer.Version, missing, returned []string)
 }
 
 // Follower keeps the copy of a table. It is safe for concurrent use.
@@ -93,6 +94,7 @@
 	period        time.Duration
 	watcher       Watcher
 	equivalent    func(old, changed []byte) bool
+	holdBack      func(r Row) bool
 	readCondition func() bool
 
 	mu             sync.Mutex
@@ -136,6 +138,12 @@
 	f.equivalent = equivalent
 }
 
+// SetHoldBack sets the function that decides about a row of a restored store that the copy knows
+// as deleted, and that may be older than the deletion. If it returns true, the row has no effect
+// for expiryTime, unless it changes. By default all rows that the store has take effect at once.
+// SetHoldBack must be called before Run. hold must not call the Follower.
+func (f *Follower) SetHoldBack(hold func(r Row) bool) { f.holdBack = hold }
+
 // SetReadCondition makes Run call the store only while condition returns true, or after the
 // copy was not confirmed for maxConfirmationAge. It must be called before Run.
 func (f *Follower) SetReadCondition(condition func() bool) { f.readCondition = condition }
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -94,10 +94,10 @@
 	}
 }
 
-func (w *table) StoreRestored(_ string, _, _ sequencer.Version, missing, returned int) {
+func (w *table) StoreRestored(_ string, _, _ sequencer.Version, missing, returned []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.events = append(w.events, fmt.Sprintf("%d missing, %d returned", missing, returned))
+	w.events = append(w.events, fmt.Sprintf("%d missing, %d returned", len(missing), len(returned)))
 }
 
 func (w *table) StoreStatus(_ string, _ int, err error) {
--- a/internal/process/follower/restoration.go
+++ b/internal/process/follower/restoration.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -9,21 +11,25 @@
 	// rewriteTime is how long rows that a restored store lacks stay in effect. Their writers
 	// write them again within it, if they still run.
 	rewriteTime = 2 * time.Second
-	// expiryTime is how long a row has no effect that was deleted before the restoration and is
-	// back with it. It exceeds the time after which the platform deletes the registration of an
-	// upstream that has left: three registrations, 1.5 s each, and 0.8 s.
+	// expiryTime is how long a row that is held back has no effect. It exceeds the time after
+	// which the platform deletes the registration of an upstream that has left: three
+	// registrations, 1.5 s each, and 0.8 s.
 	expiryTime = 6 * time.Second
 )
 
 // restoration is what a copy knows better than the store that came back from an older copy,
-// until the writers of the rows had time to repair the store. Both maps hold deadlines.
+// until the writers of the rows had time to repair the store. missing and returned hold
+// deadlines.
 type restoration struct {
 	missing  map[string]time.Time // rows that the store lacks, which the watcher keeps
 	returned map[string]time.Time // rows that are back, which the watcher doesn't get yet
+	// highest holds the highest number of each row in earlier eras, unless the number of the
+	// row in this era reaches it.
+	highest map[string]uint64
 }
 
 func newRestoration() restoration {
-	return restoration{missing: make(map[string]time.Time), returned: make(map[string]time.Time)}
+	return restoration{missing: make(map[string]time.Time), returned: make(map[string]time.Time), highest: make(map[string]uint64)}
 }
 
 // settle ends the exception for a row that was written after the restoration.
@@ -52,14 +58,14 @@
 	f.restoration = newRestoration()
 	for _, r := range p.Rows {
 		f.setRow(r)
-		_, held := old.returned[r.Key]
-		if !r.Deleted && (before[r.Key].Deleted || held) {
+		if f.mayBeOutdated(r, before, &old) {
 			f.restoration.returned[r.Key] = now.Add(expiryTime)
 			continue
 		}
 		changed = append(changed, r)
 	}
 	for key, r := range before {
+		f.keepHighest(key, r.Version.Number())
 		_, listed := f.rows[key]
 		if _, held := old.returned[key]; !r.Deleted && !listed && !held {
 			f.restoration.missing[key] = now.Add(rewriteTime)
@@ -70,13 +76,38 @@
 			f.restoration.missing[key] = now.Add(rewriteTime)
 		}
 	}
-	f.watcher.StoreRestored(f.table, f.version, p.Version, len(f.restoration.missing), len(f.restoration.returned))
+	for key, number := range old.highest {
+		f.keepHighest(key, number)
+	}
+	f.watcher.StoreRestored(f.table, f.version, p.Version, slices.Collect(maps.Keys(f.restoration.missing)), slices.Collect(maps.Keys(f.restoration.returned)))
 	for _, after := range []time.Duration{rewriteTime, expiryTime} {
 		time.AfterFunc(after, f.endExceptions)
 	}
 	return changed
 }
 
+// mayBeOutdated reports whether a row of a restored table is to be held back: the copy knows
+// the row as deleted, the store may have brought it back, and its writer can't be trusted to
+// have written it since. A number above all that the row had in earlier eras was given out after
+// them. A lower one tells nothing, because numbers are given out again. The caller must hold mu.
+func (f *Follower) mayBeOutdated(r Row, before map[string]Row, old *restoration) bool {
+	known, copied := before[r.Key]
+	_, missing := old.missing[r.Key]
+	_, held := old.returned[r.Key]
+	highest, seen := old.highest[r.Key]
+	deleted := known.Deleted || held || (seen && !copied && !missing)
+	return !r.Deleted && deleted && r.Version.Number() <= max(highest, known.Version.Number()) &&
+		f.holdBack != nil && f.holdBack(r)
+}
+
+// keepHighest keeps a number that a row had in an earlier era. The caller must hold mu.
+func (f *Follower) keepHighest(key string, number uint64) {
+	number = max(number, f.restoration.highest[key])
+	if _, kept := f.restoration.highest[key]; number > f.rows[key].Version.Number() && (kept || len(f.restoration.highest) < maxTombstones) {
+		f.restoration.highest[key] = number
+	}
+}
+
 // endExceptions applies what the store says of rows whose deadline has passed.
 func (f *Follower) endExceptions() {
 	f.mu.Lock()
--- a/internal/process/follower/restoration_test.go
+++ b/internal/process/follower/restoration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -65,6 +66,7 @@
 				s.put("gone", "2")
 				copied := s.copyRows()
 				f := follower.New("t", s, 100*time.Millisecond, w)
+				f.SetHoldBack(holdAll)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go f.Run(ctx)
@@ -84,6 +86,108 @@
 	}
 }
 
+func holdAll(follower.Row) bool { return true }
+
+// history is a store with the copies from which it can be restored, and the key of one row.
+type history struct {
+	*store
+	copies map[string]*store
+}
+
+// play applies a step. put and later write the row, the latter as another process; other
+// writes another row; copy=NAME makes a copy; back=NAME restores it; read lets the copy under
+// test read the store.
+func (h *history) play(step string) {
+	action, name, _ := strings.Cut(step, "=")
+	switch action {
+	case "put", "later":
+		h.put("row", action)
+	case "delete":
+		h.put("row", "")
+	case "other":
+		h.put("other", "x")
+	case "copy":
+		h.copies[name] = &store{version: h.version, rows: h.copyRows()}
+	case "back":
+		h.restore(h.copies[name].version, h.copies[name].rows)
+	case "read":
+		time.Sleep(110 * time.Millisecond)
+	default:
+		panic(step)
+	}
+}
+
+// Guards against a row that was written before the first read of a restored store and has no
+// effect, because the copy knows an earlier row with its key as deleted; and against the row of
+// an upstream that has left and is in effect again. The results are those at once, after 2 s and
+// after 6 s. A row of the operator is in effect if it is there; one of an upstream is held back
+// if it may be older than its deletion.
+func TestRowsThatAreBackAfterRestoration(t *testing.T) {
+	for name, c := range map[string]struct{ steps, operator, upstream string }{
+		"written before the copy":                       {"put read copy=a other read back=a read", "on on on", "on on on"},
+		"written in the lost span":                      {"copy=a put read back=a read", "on off off", "on off off"},
+		"and again after the first read":                {"copy=a put read back=a read put read", "on on on", "on on on"},
+		"and again before the first read":               {"copy=a put read back=a put read", "on on on", "on on on"},
+		"deleted after the restoration":                 {"put read copy=a back=a delete read", "on off off", "on off off"},
+		"deleted before the copy":                       {"put read delete read copy=a other read back=a read", "off off off", "off off off"},
+		"and written before the first read":             {"put read delete read copy=a other read back=a put read", "on on on", "on on on"},
+		"and written after the first read":              {"put read delete read copy=a other read back=a read put read", "on on on", "on on on"},
+		"deleted in the lost span":                      {"put read copy=a delete read back=a read", "on on on", "off off on"},
+		"and deleted again":                             {"put read copy=a delete read back=a read delete read", "off off off", "off off off"},
+		"and written again, same number":                {"put read copy=a delete read back=a put read", "on on on", "off off on"},
+		"and written by a later process":                {"put read copy=a delete read back=a later read", "on on on", "on on on"},
+		"and written again after the read":              {"put read copy=a delete read back=a read put read", "on on on", "on on on"},
+		"all in the lost span, same number":             {"copy=a put read delete read back=a put read", "on on on", "off off on"},
+		"all in the lost span, higher number":           {"copy=a put read delete read back=a other other put read", "on on on", "on on on"},
+		"held back, restored again":                     {"put read copy=a delete read back=a read back=a read", "on on on", "off off on"},
+		"written between two restorations":              {"put read delete read copy=a back=a read put copy=b other back=b read", "on on on", "on on on"},
+		"written again, two restorations":               {"put read delete read copy=a back=a put copy=b read back=b read", "on on on", "on on on"},
+		"missing, restored again":                       {"copy=a put read back=a read back=a read", "on off off", "on off off"},
+		"back with the second restoration":              {"put read copy=a delete read copy=b back=b read back=a read", "on on on", "off off on"},
+		"second copy from the first era":                {"put read copy=a put put read copy=b delete read back=a read delete read back=b read", "on on on", "off off on"},
+		"second copy from the first era, written since": {"put read copy=a put put read copy=b delete read back=a read delete read back=b other put read", "on on on", "on on on"},
+	} {
+		for kind, want := range map[string]string{"operator": c.operator, "upstream": c.upstream} {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { assert.Equal(t, playHistory(t, c.steps, kind == "upstream"), want) })
+			})
+		}
+	}
+}
+
+// playHistory returns whether the row is in effect after the steps, at once, after 2 s and after
+// 6 s.
+func playHistory(t *testing.T, steps string, ofUpstream bool) string {
+	h, w := history{newStore(), make(map[string]*store)}, newTable()
+	f := follower.New("t", h, 100*time.Millisecond, w)
+	if ofUpstream {
+		f.SetHoldBack(func(r follower.Row) bool { return string(r.Value) != "later" })
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.Run(ctx)
+	h.play("read")
+	for step := range strings.FieldsSeq(steps) {
+		h.play(step)
+	}
+	got := []string{w.presence("row")}
+	for _, wait := range []time.Duration{2100 * time.Millisecond, 4 * time.Second} {
+		time.Sleep(wait)
+		got = append(got, w.presence("row"))
+	}
+	return strings.Join(got, " ")
+}
+
+// presence returns "on" if a row is in effect.
+func (w *table) presence(key string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, ok := w.rows[key]; ok {
+		return "on"
+	}
+	return "off"
+}
+
 // Guards against copies of an earlier era that reach a copy of a later one, and against a copy
 // of an earlier era that takes changes of a later one for its own.
 func TestErasAreNotMixed(t *testing.T) {
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -87,7 +87,7 @@
 	RequestRefused:         {zerolog.WarnLevel, "request refused", "A request got an error response of a kind that guarantees it did not run; kind, room and attempts give the reason, and cause, where given, says how the connection of its caller ended."},
 	StoreFailed:            {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again. On `entry`, the error tells whether the connection was in use before, and how long it was idle."},
 	StoreRecovered:         {zerolog.InfoLevel, "store recovered", "The store responds again; failures, where given, is the number of calls in a row that failed."},
-	StoreRestored:          {zerolog.WarnLevel, "store restored", "The store came back from an older copy; before and after are the versions of the table, each an era and a number. Rows that the store lacks (missing) stay in effect for 2 s, rows that were deleted and are back (returned) have no effect for 6 s, unless they are written again."},
+	StoreRestored:          {zerolog.WarnLevel, "store restored", "The store came back from an older copy; before and after are the versions of the table, each an era and a number. Rows that the store lacks (missing) stay in effect for 2 s. Registrations that were deleted and that the copy may have brought back (returned) have no effect for 6 s, unless they are written again. Up to 8 keys of each are listed."},
 }
 
 func (e Event) catalogueEntry() catalogueEntry { return catalogue[e] }
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -173,7 +173,7 @@
 		return
 	}
 	delete(r.upstreams, id)
-	r.keepDeparture(u)
+	r.addDeparture(u.id, u.departure())
 	r.staleServices[u.service] = true
 	r.publish()
 	r.notifyLeaving(u, "registration removed")
@@ -205,6 +205,16 @@
 	r.notifyLeaving(u, "said so in a response")
 }
 
+// HasSuccessor reports whether the upstream that is now removed was last registered by an
+// earlier process than the one that started at the given time. It is false if either start
+// time is unknown.
+func (r *Registrar) HasSuccessor(id string, startUnixMilli int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, ok := r.departures[id]
+	return ok && d.startUnixMilli != 0 && d.startUnixMilli < startUnixMilli
+}
+
 // departure is what is kept of an upstream whose registration was removed. A registration may
 // expire while the store fails, and is written again if the upstream still runs.
 type departure struct {
@@ -213,24 +223,29 @@
 	limit          rateLimit
 }
 
-// maxDepartures bounds the number of departures that are kept, with 100 bytes each.
-const maxDepartures = 4096
+const (
+	// maxDepartures bounds the number of departures that are kept, with 100 bytes each.
+	maxDepartures = 4096
+	// departureSamples is the number of departures of which the least useful one is dropped.
+	departureSamples = 16
+)
 
-// keepDeparture keeps what a process said of itself. The caller must hold mu.
-func (r *Registrar) keepDeparture(u *Upstream) {
-	if d := u.departure(); d.leaving || !d.limit.statedAt.IsZero() {
-		r.addDeparture(u.id, d)
-	}
-}
+// saysMore reports whether the process said more of itself than its start time.
+func (d departure) saysMore() bool { return d.leaving || !d.limit.statedAt.IsZero() }
 
-// addDeparture keeps a departure, in place of a random one if there are too many. The caller
-// must hold mu.
+// addDeparture keeps a departure. If there are too many, it takes the place of one of a few
+// random ones, of one that says no more than its start time if there is any. The caller must
+// hold mu.
 func (r *Registrar) addDeparture(id string, d departure) {
-	if len(r.departures) >= maxDepartures {
-		for other := range r.departures {
-			delete(r.departures, other)
-			break
+	if _, kept := r.departures[id]; !kept && len(r.departures) >= maxDepartures {
+		victim, looked := "", 0
+		for other, o := range r.departures {
+			victim = other
+			if looked++; !o.saysMore() || looked == departureSamples {
+				break
+			}
 		}
+		delete(r.departures, victim)
 	}
 	r.departures[id] = d
 }
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -328,3 +329,30 @@
 		})
 	}
 }
+
+// Guards against requests to an upstream that said it is leaving, after so many others were
+// removed that not all departures are kept.
+func TestLeavingIsKeptAmongManyDepartures(t *testing.T) {
+	now := time.Now()
+	r := registrar.New(zones)
+	version := uint64(0)
+	remove := func(id string) {
+		version += 2
+		r.Put(entry(id, version), now, false)
+		if strings.HasPrefix(id, "leaving") {
+			r.MarkLeaving(id, 1)
+		}
+		r.Remove(id, sequencer.New(0, version+1))
+	}
+	for i := range 10 {
+		remove(fmt.Sprintf("leaving-%d", i))
+	}
+	for i := range 10_000 {
+		remove(fmt.Sprint(i))
+	}
+	for i := range 10 {
+		version += 2
+		r.Put(entry(fmt.Sprintf("leaving-%d", i), version), now, false)
+	}
+	assert.Equal(t, ids(r), "")
+}
