--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -11,7 +11,6 @@
 	"cmp"
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -153,7 +152,7 @@
 	if t == nil {
 		return false
 	}
-	route := t.Match(hostname(r.Host), r.URL.EscapedPath())
+	route := t.Match(r.Host, r.URL.EscapedPath())
 	return route != nil && route.Class.Repeatable()
 }
 
@@ -190,7 +189,7 @@
 	if x.table == nil {
 		return errNoConfiguration
 	}
-	x.route = x.table.Match(hostname(r.Host), r.URL.EscapedPath())
+	x.route = x.table.Match(r.Host, r.URL.EscapedPath())
 	if x.route == nil {
 		return errNoRoute
 	}
@@ -212,9 +211,3 @@
 	x.s.options.Plan.CountRequest(x.service)
 	return nil
 }
-
-// hostname returns the host in lower case without its port.
-func hostname(host string) string {
-	name, _, _ := strings.Cut(host, ":")
-	return strings.ToLower(name)
-}
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -7,9 +7,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/version/normalizer"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -39,7 +41,7 @@
 // modified after it was passed to New.
 type Route struct {
 	Name           string
-	Host           string
+	Host           string // in any spelling, see package normalizer
 	Prefix         string // begins and ends with a slash
 	Class          Class
 	Timeout        time.Duration // maximum time that a request waits for its response
@@ -70,7 +72,7 @@
 // use.
 type Table struct {
 	version  uint64
-	hosts    map[string][]*Route // longest prefix first
+	hosts    map[normalizer.Name][]*Route // longest prefix first
 	services map[string]*Service
 	routes   int
 	limits   Limits
@@ -81,7 +83,7 @@
 func New(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
 	t := &Table{
 		version: version, limits: limits, routes: len(routes),
-		hosts: make(map[string][]*Route), services: make(map[string]*Service, len(services)),
+		hosts: make(map[normalizer.Name][]*Route), services: make(map[string]*Service, len(services)),
 	}
 	for i := range services {
 		if services[i].Name == "" {
@@ -94,15 +96,19 @@
 		if err := t.check(r); err != nil {
 			return nil, err
 		}
-		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		host, err := normalizer.New(r.Host)
+		if err != nil {
+			return nil, classifier.Invalid.Wrap(err, "route "+strconv.Quote(r.Name))
+		}
+		for _, other := range t.hosts[host] {
+			if other.Prefix == r.Prefix {
+				return nil, classifier.Invalid.New("route %q: prefix %q of host %q is already used by route %q, host %q", r.Name, r.Prefix, r.Host, other.Name, other.Host)
+			}
+		}
+		t.hosts[host] = append(t.hosts[host], r)
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
-		for i := 1; i < len(list); i++ {
-			if slices.ContainsFunc(list[:i], func(r *Route) bool { return r.Prefix == list[i].Prefix }) {
-				return nil, classifier.Invalid.New("route %q: prefix: %q is already used by another route", list[i].Name, list[i].Prefix)
-			}
-		}
 	}
 	return t, nil
 }
@@ -162,9 +168,14 @@
 }
 
 // Match returns the route of the host with the longest prefix of the path, or nil if there
-// is none.
+// is none. The host may be spelled as in a request, with or without a port. One that is
+// malformed has no route.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.hosts[host] {
+	name, err := normalizer.New(host)
+	if err != nil {
+		return nil
+	}
+	for _, r := range t.hosts[name] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
