Bound the receive buffers of upstreams (bytes without an end)

Here the process reads a head of at most 64 KiB and holds 1 MiB of a body. But while a caller doesn't read, the kernel goes on receiving from the upstream and grows the buffer of the connection, up to 32 MB here; the platform counts bytes that are received and not yet read.

Connections to upstreams now have a receive buffer of 128 KiB, and responses that are passed on as they arrive take at most 0.2 of the process's memory for these buffers; one more is failed after it ran, as no room is left. Metric stream_bytes.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -181,15 +181,17 @@
 	c.budget = budgeter.New(s.RetryBudget, c.fleetSize, now)
 	c.ranker = ranker.New(s.Region)
 	c.sender = sender.New(sender.Options{
-		Dial: newDialer(upstreamAckTimeout).DialContext, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout, Match: c.matchResponse,
+		Dial: newDialer(upstreamAckTimeout, upstreamReceiveBytes).DialContext, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout, Match: c.matchResponse,
 	})
 	c.meter.SetFunc(meter.Dials, c.sender.DialCount)
 	memory := reserver.New(int64(bodyMemoryFraction * float64(s.MemoryLimit)))
+	streams := reserver.New(int64(streamMemoryFraction * float64(s.MemoryLimit)))
 	c.meter.SetFunc(meter.BodyBytes, memory.Used)
+	c.meter.SetFunc(meter.StreamBytes, streams.Used)
 	requests := steerer.New(steerer.Options{
 		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate, RateShare: c.rateShare,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
-		Memory: memory, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
+		Memory: memory, Streams: streams, StreamBytes: upstreamReceiveBytes, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
 	})
 	c.acceptor = acceptor.New(acceptor.Options{
 		Handler: requests, Limits: c.acceptorLimits, Concurrent: requests.Repeatable, Memory: memory, Guard: c.recoverer.Do,
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -342,7 +342,7 @@
 // one RTT, so the RTT to the region of the host is known before the first request.
 func (c *Conductor) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
 	begun := time.Now()
-	conn, err := newDialer(peerAckTimeout).DialContext(ctx, network, address)
+	conn, err := newDialer(peerAckTimeout, 0).DialContext(ctx, network, address)
 	if err == nil {
 		c.dialTimes.Store(address, time.Since(begun))
 	}
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -64,6 +64,15 @@
 	// double as they grow, so up to twice as much may be in use.
 	bodyMemoryFraction = 0.3
 
+	// upstreamReceiveBytes is the size of the receive buffer of a connection to an upstream.
+	// Without a bound the kernel grows it to several MB, and fills it while a caller doesn't
+	// read. The kernel doubles the size for its own data, so that as many bytes of a response
+	// fit. Those of 120 kB, the usual size of a download, don't wait for a round trip.
+	upstreamReceiveBytes = 128 << 10
+	// streamMemoryFraction is the fraction of the memory limit that responses may use that are
+	// passed on as they arrive: the receive buffers of their connections, and a copy buffer.
+	streamMemoryFraction = 0.2
+
 	// maxConfirmWait bounds how long requests wait for fresh state after a pause of the
 	// process. The store responds within tens of milliseconds and a sync with another host
 	// starts every 0.2 s. Callers have already waited for the pause itself.
@@ -114,14 +123,18 @@
 
 // newDialer returns a Dialer whose connections fail once sent bytes stay unacknowledged
 // for ackTimeout. Without it a connection across a network partition, or one whose
-// state a middlebox dropped, would hang.
-func newDialer(ackTimeout time.Duration) *net.Dialer {
+// state a middlebox dropped, would hang. receiveBytes is the size of their receive buffers, 0
+// for the default.
+func newDialer(ackTimeout time.Duration, receiveBytes int) *net.Dialer {
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: ackTimeout, Interval: ackTimeout, Count: 2},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failure error
 			err := raw.Control(func(fd uintptr) {
 				failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
+				if failure == nil && receiveBytes > 0 {
+					failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+				}
 			})
 			if err != nil {
 				return err
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -41,6 +41,7 @@
 	UpstreamBytes           Counter = "upstream_bytes"
 	AbortedResponses        Counter = "aborted_answers"
 	BodyBytes               Counter = "body_bytes"
+	StreamBytes             Counter = "stream_bytes"
 	Panics                  Counter = "panics"
 )
 
@@ -65,6 +66,7 @@
 	UpstreamBytes:           "response body bytes read from upstreams",
 	AbortedResponses:        "responses aborted because they could not be completed",
 	BodyBytes:               "bytes of requests and responses held in memory now",
+	StreamBytes:             "bytes of buffers for responses that are passed on as they arrive now",
 	Panics:                  "recovered panics; the affected task failed and the process continued",
 }
 
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -53,6 +53,7 @@
 	elapsed         time.Duration
 	done            atomic.Bool
 	reservedBytes   int64        // memory for the bodies of request and response
+	streamedBytes   int64        // memory to pass on the response as it arrives
 	bodyRefs        atomic.Int32 // users of the bodies: the attempt and its exchange
 }
 
@@ -77,6 +78,7 @@
 func (a *attempt) release() {
 	if a.bodyRefs.Add(-1) == 0 {
 		a.x.s.options.Memory.Release(a.reservedBytes)
+		a.x.s.options.Streams.Release(a.streamedBytes)
 	}
 }
 
@@ -198,11 +200,16 @@
 		return classifier.ResponseMismatch.New("upstream %s responded with status %d without its signature", a.upstream.ID(), s)
 	}
 	if a.response.ContentLength > maxBufferedBodyBytes {
-		return nil
+		return a.reserveStream()
 	}
 	if err := a.readBody(); err != nil {
 		return err
 	}
+	if !a.complete {
+		if err := a.reserveStream(); err != nil {
+			return err
+		}
+	}
 	if s >= http.StatusInternalServerError {
 		a.errorStatus = s
 		return classifier.Failed.New("upstream %s failed the request with status %d", a.upstream.ID(), s)
@@ -228,6 +235,18 @@
 	return nil // the rest is streamed
 }
 
+// reserveStream reserves the memory to pass on the response as it arrives. Without it, callers
+// who don't read would let the buffers of many connections fill up.
+func (a *attempt) reserveStream() error {
+	n := a.x.s.options.StreamBytes + streamBufferBytes
+	if !a.x.s.options.Streams.TryAcquire(n) {
+		a.closeConn()
+		return errStreamsFull
+	}
+	a.streamedBytes = n
+	return nil
+}
+
 // bodyError classifies an error of reading the body of the response.
 func (a *attempt) bodyError(err error) error {
 	if !time.Now().Before(a.deadline) {
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -46,6 +46,7 @@
 	errTimedOut         = classifier.TimedOut.New("no response before the deadline")
 	errPanic            = classifier.Internal.New("the handler of the request panicked")
 	errPausedBeforeSend = classifier.NotReady.New("the process was paused between the choice of an upstream and the request")
+	errStreamsFull      = classifier.Internal.New("no memory is free to pass on the response")
 	errOtherAttemptWon  = errors.New("another attempt completed first")
 )
 
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -85,7 +85,7 @@
 	AwaitConfirmed(ctx context.Context)
 }
 
-// Options configure a Steerer. Memory, Guard, Watchdog, Log and Meter are optional.
+// Options configure a Steerer. Memory, Streams, Guard, Watchdog, Log and Meter are optional.
 type Options struct {
 	Dialect Dialect
 	Table   func() *matcher.Table // nil without a configuration
@@ -102,6 +102,11 @@
 	Budget    *budgeter.Budgeter
 	Sender    *sender.Sender
 	Memory    *reserver.Reserver // for buffered bodies; the default has no bound
+	// Streams bounds the memory for responses that are passed on as they arrive; the default
+	// has no bound. Each takes StreamBytes, the most that the connection to its upstream may
+	// hold while the caller doesn't read, and a buffer to copy from.
+	Streams     *reserver.Reserver
+	StreamBytes int64
 	// Guard runs f, recovers a panic of it and reports whether there was one; place names
 	// f in logs. Nil means that panics are not recovered.
 	Guard    func(place string, f func()) bool
@@ -139,6 +144,9 @@
 	if o.Memory == nil {
 		o.Memory = new(reserver.Reserver)
 	}
+	if o.Streams == nil {
+		o.Streams = new(reserver.Reserver)
+	}
 	return &Steerer{options: o}
 }
 
