Count response bodies by the memory that they take

The reserver counted the bytes of a response, but its buffer doubles as it grows and leaves the smaller one to the garbage collector. With 77 MB reserved a process with endless bodies took 165 to 172 MB.

A response is now read into segments that are not copied. TestReadBody compares the capacity of the segments with the reservation.

--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -70,6 +70,41 @@
 	return reserved, false, nil
 }
 
+// ReadSegments reads a body as ReadBody does, but into segments that are not copied when the
+// body grows, so that it takes no more memory than is reserved.
+func (r *Reserver) ReadSegments(body io.Reader, length, limit int64) (segments [][]byte, reserved int64, complete bool, err error) {
+	n := int64(reservationBytes)
+	if length > 0 && length <= limit {
+		n = length + 1 // to read the end of the body without another segment
+	}
+	for read := int64(0); read <= limit; {
+		if !r.TryAcquire(n) {
+			return segments, reserved, false, nil
+		}
+		reserved += n
+		segment, err := fill(make([]byte, 0, n), body)
+		segments = append(segments, segment)
+		if read += int64(len(segment)); err == io.EOF {
+			return segments, reserved, true, nil
+		} else if err != nil {
+			return segments, reserved, false, err
+		}
+	}
+	return segments, reserved, false, nil
+}
+
+// fill reads until the capacity of b is used. Errors are those of the reader, also io.EOF.
+func fill(b []byte, r io.Reader) ([]byte, error) {
+	for len(b) < cap(b) {
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
 // Used returns the number of reserved bytes.
 func (r *Reserver) Used() int64 { return r.used.Load() }
 
--- a/internal/process/reserver/reserver_test.go
+++ b/internal/process/reserver/reserver_test.go
@@ -45,36 +45,55 @@
 // or the body exceeded its limit, and against a buffer larger than the reservation.
 func TestReadBody(t *testing.T) {
 	long := strings.Repeat("x", 300_000)
+	text := func(s string) func() io.Reader { return func() io.Reader { return strings.NewReader(s) } }
 	for name, c := range map[string]struct {
-		body          io.Reader
+		body          func() io.Reader
 		length, limit int64
 		memory        int64
 		size          int
 		complete      bool
 	}{
-		"known length":      {strings.NewReader(long), 300_000, 1 << 20, 1 << 20, 300_000, true},
-		"unknown length":    {strings.NewReader(long), -1, 1 << 20, 1 << 20, 300_000, true},
-		"empty":             {strings.NewReader(""), -1, 1 << 20, 1 << 20, 0, true},
-		"byte by byte":      {iotest.OneByteReader(strings.NewReader("abc")), -1, 1 << 20, 1 << 20, 3, true},
-		"above its limit":   {strings.NewReader(long), -1, 100_000, 1 << 20, 131072, false},
-		"no memory":         {strings.NewReader(long), 300_000, 1 << 20, 200_000, 0, false},
-		"memory for a part": {strings.NewReader(long), -1, 1 << 20, 150_000, 131072, false},
-		"length over limit": {strings.NewReader(long), 1 << 40, 1 << 20, 1 << 20, 300_000, true},
+		"known length":      {text(long), 300_000, 1 << 20, 1 << 20, 300_000, true},
+		"unknown length":    {text(long), -1, 1 << 20, 1 << 20, 300_000, true},
+		"empty":             {text(""), -1, 1 << 20, 1 << 20, 0, true},
+		"byte by byte":      {func() io.Reader { return iotest.OneByteReader(strings.NewReader("abc")) }, -1, 1 << 20, 1 << 20, 3, true},
+		"above its limit":   {text(long), -1, 100_000, 1 << 20, 131072, false},
+		"no memory":         {text(long), 300_000, 1 << 20, 200_000, 0, false},
+		"memory for a part": {text(long), -1, 1 << 20, 150_000, 131072, false},
+		"length over limit": {text(long), 1 << 40, 1 << 20, 1 << 20, 300_000, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := reserver.New(c.memory)
 			var b bytes.Buffer
-			reserved, complete, err := r.ReadBody(&b, c.body, c.length, c.limit)
+			reserved, complete, err := r.ReadBody(&b, c.body(), c.length, c.limit)
 			assert.NilError(t, err)
 			assert.Equal(t, complete, c.complete)
 			assert.Equal(t, b.Len(), c.size)
 			assert.Equal(t, reserved, r.Used())
 			assert.Assert(t, int64(b.Len()) <= reserved)
+
+			r = reserver.New(c.memory)
+			segments, reserved, complete, err := r.ReadSegments(c.body(), c.length, c.limit)
+			assert.NilError(t, err)
+			assert.Equal(t, complete, c.complete)
+			assert.Equal(t, len(bytes.Join(segments, nil)), c.size)
+			assert.Equal(t, reserved, r.Used())
+			capacity := 0
+			for _, segment := range segments {
+				capacity += cap(segment)
+			}
+			assert.Equal(t, int64(capacity), reserved)
 		})
 	}
 	broken := errors.New("broken")
+	brokenBody := func() io.Reader {
+		return io.MultiReader(strings.NewReader("ab"), iotest.ErrReader(broken))
+	}
+	_, _, complete, err := reserver.New(0).ReadSegments(brokenBody(), -1, 1<<20)
+	assert.ErrorIs(t, err, broken)
+	assert.Assert(t, !complete)
 	var b bytes.Buffer
-	_, complete, err := reserver.New(0).ReadBody(&b, io.MultiReader(strings.NewReader("ab"), iotest.ErrReader(broken)), -1, 1<<20)
+	_, complete, err = reserver.New(0).ReadBody(&b, brokenBody(), -1, 1<<20)
 	assert.ErrorIs(t, err, broken)
 	assert.Assert(t, !complete)
 }
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -45,7 +45,7 @@
 	conn            *sender.Conn
 	metadata        ResponseMetadata
 	response        *http.Response
-	body            []byte
+	body            [][]byte // segments
 	complete        bool // body is the complete body of the response
 	requestBodyRead bool // the request's body was read from the caller
 	errorStatus     int  // status of a response that may be delivered despite err
@@ -221,10 +221,9 @@
 func (a *attempt) readBody() error {
 	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
 	defer stop()
-	var b bytes.Buffer
-	reserved, complete, err := a.x.s.options.Memory.ReadBody(&b, a.response.Body, a.response.ContentLength, maxBufferedBodyBytes)
+	body, reserved, complete, err := a.x.s.options.Memory.ReadSegments(a.response.Body, a.response.ContentLength, maxBufferedBodyBytes)
 	a.reservedBytes += reserved
-	a.body, a.complete = b.Bytes(), complete
+	a.body, a.complete = body, complete
 	switch {
 	case err != nil:
 		a.conn.Close()
@@ -285,19 +284,38 @@
 	case a.response.StatusCode == http.StatusNotModified:
 		return -1
 	case a.complete && a.x.call.Request.Method != http.MethodHead:
-		return int64(len(a.body))
+		return a.bodyBytes()
 	default:
 		return a.response.ContentLength
 	}
 }
 
+// bodyBytes returns the length of the buffered part of the body.
+func (a *attempt) bodyBytes() (n int64) {
+	for _, segment := range a.body {
+		n += int64(len(segment))
+	}
+	return n
+}
+
+// writeBody writes the buffered part of the body to the caller. It returns the number of bytes
+// written.
+func (a *attempt) writeBody(w *acceptor.ResponseWriter) (n int64, err error) {
+	for _, segment := range a.body {
+		k, err := w.Write(segment)
+		if n += int64(k); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // streamBody copies a long body to the caller as it arrives, at most until streamDeadline.
 // It returns the number of bytes written.
 func (a *attempt) streamBody(w *acceptor.ResponseWriter) (int64, error) {
 	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
 	defer stop()
-	total, err := w.Write(a.body)
-	n := int64(total)
+	n, err := a.writeBody(w)
 	buf := make([]byte, streamBufferBytes)
 	for err == nil {
 		a.conn.SetReadDeadline(earlier(time.Now().Add(streamStallTimeout), a.x.streamDeadline))
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -287,11 +287,11 @@
 	x.status = a.response.StatusCode
 	header := a.responseHeader()
 	if a.complete {
-		x.bytes = int64(len(a.body))
+		x.bytes = a.bodyBytes()
 		if err := x.response.WriteHeader(x.status, header, a.statedLength()); err != nil {
 			return err
 		}
-		_, err := x.response.Write(a.body)
+		_, err := a.writeBody(x.response)
 		return err
 	}
 	if err := x.response.WriteHeader(x.status, header, a.statedLength()); err != nil {
