Close the connection of an attempt whose long response isn't delivered

When both attempts of a hedged request had the head of a long response, the loser's connection stayed open until the garbage collector found it, and its buffers filled up. It is now cancelled and closed as soon as the other response is chosen, and not only after that was delivered.

TestLongResponseOfLosingAttemptIsClosed failed before ("a connection stays open", garbage collector off).

--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -46,9 +46,11 @@
 	metadata        ResponseMetadata
 	response        *http.Response
 	body            [][]byte // segments
-	complete        bool // body is the complete body of the response
-	requestBodyRead bool // the request's body was read from the caller
-	errorStatus     int  // status of a response that may be delivered despite err
+	complete        bool     // body is the complete body of the response
+	delivered       bool     // the response was passed on to the caller
+	abandoned       bool     // the exchange doesn't use it any more
+	requestBodyRead bool     // the request's body was read from the caller
+	errorStatus     int      // status of a response that may be delivered despite err
 	err             error
 	elapsed         time.Duration
 	done            atomic.Bool
@@ -74,9 +76,13 @@
 }
 
 // release drops one reference to the bodies. Their memory is released with the last one,
-// because an attempt may continue after its exchange has ended.
+// because an attempt may continue after its exchange has ended. So is the connection of a long
+// response that was not delivered.
 func (a *attempt) release() {
 	if a.bodyRefs.Add(-1) == 0 {
+		if a.streamedBytes > 0 && !a.delivered {
+			a.closeConn()
+		}
 		a.x.s.options.Memory.Release(a.reservedBytes)
 		a.x.s.options.Streams.Release(a.streamedBytes)
 	}
@@ -99,6 +105,16 @@
 	}
 }
 
+// abandon cancels the attempt if it is in flight and may be aborted, and drops the reference of
+// its exchange to the bodies.
+func (a *attempt) abandon() {
+	if !a.abandoned {
+		a.abandoned = true
+		a.stop()
+		a.release()
+	}
+}
+
 // run performs the attempt and records its outcome.
 func (a *attempt) run() {
 	defer a.release()
--- a/internal/request/steerer/endless_test.go
+++ b/internal/request/steerer/endless_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -112,3 +115,37 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.StatusCode, 200)
 }
+
+// Guards against the connection of an attempt whose response isn't delivered, and that stays open
+// and fills its buffers until the garbage collector finds it.
+func TestLongResponseOfLosingAttemptIsClosed(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(-1))
+	closed, hedged := make(chan struct{}, 2), make(chan struct{})
+	var requests atomic.Int64
+	g := newTestHost(t, func(first, second *upstream) {
+		for _, u := range []*upstream{first, second} {
+			respond := respondEndlessly(u, closed, "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\nContent-Length: 1000000000\r\n\r\n", strings.Repeat("x", 0x1000))
+			u.handle = func(w http.ResponseWriter, r *http.Request) {
+				if requests.Add(1) == 2 {
+					close(hedged)
+				}
+				<-hedged
+				respond(w, r)
+			}
+		}
+	})
+	c := g.dial()
+	_, err := io.WriteString(c, "GET /look/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\nObject: "+object+"\r\nPatience: 60s\r\n\r\n")
+	assert.NilError(t, err)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, r.StatusCode, http.StatusOK)
+	for _, action := range []func() error{func() error { return nil }, c.Close} { // the loser's first
+		assert.NilError(t, action())
+		select {
+		case <-closed:
+		case <-time.After(10 * time.Second):
+			t.Fatal("a connection stays open")
+		}
+	}
+}
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -81,8 +81,7 @@
 	results := make(chan *attempt, maxUpstreamsPerRequest)
 	timer := time.NewTimer(time.Until(x.deadline))
 	defer timer.Stop()
-	defer x.releaseMemory()
-	defer x.cancelAttempts()
+	defer x.abandonAttempts(nil)
 	pending := 0
 	if err := x.startAttempt(results); err != nil {
 		return err
@@ -94,6 +93,7 @@
 		case a := <-results:
 			pending--
 			if a.err == nil {
+				x.abandonAttempts(a)
 				return x.deliverResponse(a)
 			}
 			err := x.retry(a, results)
@@ -268,22 +268,18 @@
 	return x.s.options.ColdRate(u, perSecond)
 }
 
-// cancelAttempts cancels the attempts that are in flight and may be aborted.
-func (x *exchange) cancelAttempts() {
+// abandonAttempts abandons all attempts but one.
+func (x *exchange) abandonAttempts(except *attempt) {
 	for _, a := range x.attempts {
-		a.stop()
-	}
-}
-
-// releaseMemory drops the references of the exchange to the bodies of its attempts.
-func (x *exchange) releaseMemory() {
-	for _, a := range x.attempts {
-		a.release()
+		if a != except {
+			a.abandon()
+		}
 	}
 }
 
 // deliverResponse writes the response of an attempt to the caller.
 func (x *exchange) deliverResponse(a *attempt) error {
+	a.delivered = true
 	x.status = a.response.StatusCode
 	header := a.responseHeader()
 	if a.complete {
