End unread responses with the time of their callers

A response that is passed on as it arrives ends when its caller's time is over, but a write to a caller who doesn't read took up to 30 s, and meanwhile kept the connection to the upstream with its buffers.

TestUnreadEndlessResponseEndsWithPatience fails without the deadline ("the connection to the upstream stays open"); TestWriteFailsAtDeadline checks the time in virtual time: 2 s with a deadline of 2 s, 30 s with one of an hour.

--- a/internal/connection/acceptor/conn_test.go
+++ b/internal/connection/acceptor/conn_test.go
@@ -109,6 +109,45 @@
 	})
 }
 
+// streamingHandler writes a response without an end until its deadline.
+type streamingHandler struct {
+	deadline time.Duration
+	err      chan error
+}
+
+// Serve implements acceptor.Handler.
+func (h streamingHandler) Serve(_ context.Context, _ *acceptor.Call, w *acceptor.ResponseWriter) {
+	w.SetDeadline(time.Now().Add(h.deadline))
+	err := w.WriteHeader(http.StatusOK, nil, -1)
+	for err == nil {
+		_, err = w.Write(make([]byte, 4096))
+	}
+	h.err <- err
+}
+
+// Guards against a write that waits for a caller who doesn't read, after the deadline of the
+// response, and against one that never ends without a deadline before that.
+func TestWriteFailsAtDeadline(t *testing.T) {
+	for deadline, want := range map[time.Duration]time.Duration{2 * time.Second: 2 * time.Second, time.Hour: 30 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				h := streamingHandler{deadline, make(chan error, 1)}
+				a := acceptor.New(acceptor.Options{Handler: h})
+				go func() { _ = a.Serve(l) }()
+				c, server := net.Pipe()
+				l.conns <- server
+				send(t, c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+				begun := time.Now()
+				assert.ErrorIs(t, <-h.err, acceptor.ErrWriteFailed)
+				assert.Equal(t, time.Since(begun), want)
+				_ = c.Close()
+				_ = l.Close()
+			})
+		})
+	}
+}
+
 // pipeListener accepts the connections that are sent to conns.
 type pipeListener struct {
 	conns  chan net.Conn
--- a/internal/connection/acceptor/response.go
+++ b/internal/connection/acceptor/response.go
@@ -29,7 +29,8 @@
 	aborted       bool // the connection ends without a complete response
 	closesConn    bool // the connection closes after this response
 	chunkWriter   io.WriteCloser
-	bytesLeft     int64 // bytes of the body still to be written, negative if the length is unknown
+	deadline      time.Time // when writes fail, zero for none
+	bytesLeft     int64     // bytes of the body still to be written, negative if the length is unknown
 }
 
 func newResponseWriter(c *conn, call *Call, precedingDone <-chan struct{}) *ResponseWriter {
@@ -47,7 +48,7 @@
 	w.headerWritten = true
 	w.bytesLeft = length
 	bw := w.c.bw
-	_ = w.c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.extendWriteDeadline()
 	_, _ = io.WriteString(bw, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n")
 	_ = header.WriteSubset(bw, framingHeaders)
 	if w.decideClose() {
@@ -103,13 +104,25 @@
 	return body == nil || body.isAtEOF()
 }
 
+// SetDeadline sets the time from which on WriteHeader and Write fail, also one that waits for the
+// caller to read. Without it each write may take writeTimeout.
+func (w *ResponseWriter) SetDeadline(deadline time.Time) { w.deadline = deadline }
+
+func (w *ResponseWriter) extendWriteDeadline() {
+	deadline := time.Now().Add(writeTimeout)
+	if !w.deadline.IsZero() && w.deadline.Before(deadline) {
+		deadline = w.deadline
+	}
+	_ = w.c.raw.SetWriteDeadline(deadline)
+}
+
 // Write writes a part of the body. The body of a response to a HEAD request is discarded.
 // The error is ErrWriteFailed.
 func (w *ResponseWriter) Write(p []byte) (int, error) {
 	if w.isHead() {
 		return len(p), nil
 	}
-	_ = w.c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.extendWriteDeadline()
 	var n int
 	var err error
 	if w.chunkWriter != nil {
--- a/internal/request/steerer/endless_test.go
+++ b/internal/request/steerer/endless_test.go
@@ -149,3 +149,21 @@
 		}
 	}
 }
+
+// Guards against a response without an end that is kept after its caller's time is over, because
+// the caller neither reads nor closes its connection.
+func TestUnreadEndlessResponseEndsWithPatience(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	g := newTestHost(t, func(first, _ *upstream) {
+		first.handle = respondEndlessly(first, closed, "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\n\r\n", strings.Repeat("x", 0x4000))
+	})
+	c := g.dial()
+	_, err := io.WriteString(c, "POST /pay/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\nObject: "+object+"\r\nPatience: 700ms\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection to the upstream stays open")
+	}
+	assert.Equal(t, g.first.ran.Load(), int64(1))
+}
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -290,6 +290,7 @@
 		_, err := a.writeBody(x.response)
 		return err
 	}
+	x.response.SetDeadline(x.streamDeadline)
 	if err := x.response.WriteHeader(x.status, header, a.statedLength()); err != nil {
 		a.closeConn()
 		return err
