--- a/internal/process/follower/restoration.go
+++ b/internal/process/follower/restoration.go
@@ -23,8 +23,8 @@
 type restoration struct {
 	missing  map[string]time.Time // rows that the store lacks, which the watcher keeps
 	returned map[string]time.Time // rows that are back, which the watcher doesn't get yet
-	// highest holds the highest number of each row in earlier eras, unless the number of the
-	// row in this era reaches it.
+	// highest holds the highest number that a key had in earlier eras, unless its row in this
+	// era has as high a one. At most maxTombstones keys are kept.
 	highest map[string]uint64
 }
 
@@ -86,10 +86,10 @@
 	return changed
 }
 
-// mayBeOutdated reports whether a row of a restored table is to be held back: the copy knows
-// the row as deleted, the store may have brought it back, and its writer can't be trusted to
-// have written it since. A number above all that the row had in earlier eras was given out after
-// them. A lower one tells nothing, because numbers are given out again. The caller must hold mu.
+// mayBeOutdated reports whether a row of a restored table is to be held back: the copy knows a
+// row with its key as deleted, and nothing shows that this one was written since. A number above
+// all that the key had in earlier eras was given out after the deletion. A lower one tells
+// nothing, because numbers are given out again. The caller must hold mu.
 func (f *Follower) mayBeOutdated(r Row, before map[string]Row, old *restoration) bool {
 	known, copied := before[r.Key]
 	_, missing := old.missing[r.Key]
