Serve configurations with client accounts, uploads and loads with a speed (thin path)

Cause: a configuration with a route of class upload was rejected as a whole, so a host of such a deployment never became ready; client accounts and their keys were unknown, and a load with a fourth figure counted as none.

A request needs a key of an account unless its route is public; unknown keys get 401, or 503 while the configuration is not confirmed to be current. Allowed regions of route and account both apply. An unknown class no longer rejects the configuration: its requests count as not repeatable, and event 206 names it. Quotas and urgency are decoded, and not enforced yet.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -189,7 +189,7 @@
 	c.meter.SetFunc(meter.BodyBytes, memory.Used)
 	c.meter.SetFunc(meter.StreamBytes, streams.Used)
 	requests := steerer.New(steerer.Options{
-		Dialect: p, Table: c.table.Load, Regions: c.regions, Plan: c, ColdRate: c.coldRate, RateShare: c.rateShare,
+		Dialect: p, Table: c.table.Load, ConfigurationCurrent: c.configurationCurrent, Regions: c.regions, Plan: c, ColdRate: c.coldRate, RateShare: c.rateShare,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
 		Memory: memory, Streams: streams, StreamBytes: upstreamReceiveBytes, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
 	})
@@ -228,6 +228,12 @@
 	}
 }
 
+// configurationCurrent reports whether the store confirmed the configuration a short time ago.
+func (c *Conductor) configurationCurrent() bool {
+	confirmed, _ := c.followers[c.platform.OperatorTable()].ConfirmedSince(time.Now().Add(-maxConfigurationAge))
+	return confirmed
+}
+
 func (c *Conductor) acceptorLimits() acceptor.Limits {
 	t := c.table.Load()
 	if t == nil {
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -370,11 +370,11 @@
 	return c.plan.AllowCrossRegion(time.Now(), failing)
 }
 
-// RegionWeights implements steerer.Planner. Downloads use the local plan even if objects
-// are spread over all regions, because their bytes would cross the links between regions.
+// RegionWeights implements steerer.Planner. Downloads and uploads use the local plan even if
+// objects are spread over all regions, because their bytes would cross the links between regions.
 func (c *Conductor) RegionWeights(service string, class matcher.Class) []float64 {
 	name := spreadPlanPrefix + service
-	if class == matcher.Download {
+	if class.Large() {
 		name = localPlanPrefix + service
 	}
 	if w := c.plan.Current(name); w != nil {
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -11,7 +11,10 @@
 	// upstreams. Each upstream writes about every 1.5 s, so a call that waits for the
 	// next change returns at once and does not limit the rate of calls itself.
 	minUpstreamReadInterval = 700 * time.Millisecond
-	tickInterval            = 250 * time.Millisecond
+	// maxConfigurationAge is the age from which a copy of the configuration may lack new keys.
+	// Syncs confirm a copy several times a second while the store responds.
+	maxConfigurationAge = 3 * time.Second
+	tickInterval        = 250 * time.Millisecond
 	// maxViewAge bounds how long a member that was removed from the membership stays in
 	// the view. Until then it only makes the shares of the other hosts in limits that hold
 	// over all hosts smaller.
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -119,6 +119,9 @@
 	c.installedValue = r.Value
 	c.table.Store(t)
 	c.gossiper.SetVersion(t.Version())
+	for _, r := range t.UnknownClasses() {
+		c.log.Event(logger.ClassUnknown).Str("route", r.Name).Str("class", r.UnknownClass[:min(len(r.UnknownClass), maxLoggedErrorBytes)]).Send()
+	}
 	c.log.Event(logger.VersionInstalled).Uint64("version", t.Version()).Int("routes", t.RouteCount()).Stringer("row", r.Version).
 		Dur("unconfirmed", unconfirmed).Send()
 }
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -40,6 +40,7 @@
 	RateLimitChanged       Event = 504
 	RateLimitInvalid       Event = 505
 	LeavingInvalid         Event = 506
+	ClassUnknown           Event = 206
 	RequestFailed          Event = 601
 	RequestServed          Event = 602
 	RequestRefused         Event = 603
@@ -82,6 +83,7 @@
 	RateLimitChanged:       {zerolog.InfoLevel, "rate limit changed", "The upstream began to state a rate limit in its responses, in requests per second of all hosts together, or stopped if limited is false. With the field age, another host got that response; such a limit also ends when it is not stated anew for 20 s."},
 	RateLimitInvalid:       {zerolog.WarnLevel, "rate limit invalid", "A response states a rate limit that can't be read; the one that is known stays in effect."},
 	LeavingInvalid:         {zerolog.WarnLevel, "leaving invalid", "A response says in a way that can't be read whether the upstream is leaving; it counts as not leaving."},
+	ClassUnknown:           {zerolog.WarnLevel, "class unknown", "A configuration gives a route a class that this build does not know; its requests count as not repeatable."},
 	RequestFailed:          {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run; attempts, where given, lists the attempts made."},
 	RequestServed:          {zerolog.InfoLevel, "request served", "A request got an upstream's response; attempts lists where it was sent, what was expected there, and the result."},
 	RequestRefused:         {zerolog.WarnLevel, "request refused", "A request got an error response of a kind that guarantees it did not run; kind, room and attempts give the reason, and cause, where given, says how the connection of its caller ended."},
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -43,6 +43,9 @@
 // run and wait there, and its slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// SlownessPercent is the time that work takes there at this moment, in percent of the
+	// usual. It is 0 if the upstream doesn't report it.
+	SlownessPercent int
 }
 
 // Upstream is one process that serves requests. It is safe for concurrent use.
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -188,6 +188,9 @@
 	h := make(http.Header, len(in.Header)+2)
 	stripper.CopyEndToEnd(h, in.Header, nil)
 	delete(h, "Content-Length")
+	if x.table.Accounts() != nil {
+		x.s.options.Dialect.SetAccount(h, x.accountName())
+	}
 	x.s.options.Dialect.SetUpstreamFields(h, a.upstream.ID(), a.deadline.Sub(now))
 	return &sender.Request{Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: h, Body: body}, nil
 }
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -16,6 +16,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
+	"dandeliontrack.example/dandeliontrack/internal/version/authenticator"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -40,6 +41,9 @@
 // The errors are allocated once, so that refusals under overload are cheap.
 var (
 	errNoConfiguration  = classifier.NotReady.New("the host has no configuration yet")
+	errUnknownKey       = classifier.Unauthorized.New("the request has no key of a client account")
+	errUnconfirmedKey   = classifier.NotReady.New("the key is unknown, and the configuration may be out of date")
+	errOverQuota        = classifier.QuotaExceeded.New("the quota of the client account is used up")
 	errNoRoute          = classifier.NotFound.New("no route for the host and path")
 	errCallerLeft       = classifier.Expired.New("the caller left")
 	errNotSent          = classifier.Overloaded.New("no upstream could be reached before the deadline")
@@ -59,6 +63,7 @@
 	id             string
 	table          *matcher.Table
 	route          *matcher.Route
+	account        *authenticator.Account // nil if the request has none
 	service        string
 	object         uint64
 	randomKey      uint64
@@ -244,10 +249,10 @@
 	if q.Group == nil {
 		return ranker.Choice{UntilCapacity: maxRetryAfter}
 	}
-	if len(x.route.Regions) > 0 {
+	if x.restrictsRegions() {
 		q.Regions, q.Weights = nil, nil
 		for i, region := range o.Regions {
-			if slices.Contains(x.route.Regions, region) {
+			if x.allowsRegion(region) {
 				q.Regions = append(q.Regions, region)
 				q.Weights = append(q.Weights, weights[i]+minRegionWeight)
 			}
@@ -256,7 +261,7 @@
 	return o.Ranker.Choose(now, x.service, &q)
 }
 
-// minRegionWeight is added to the weights of a route with allowed regions, so that these
+// minRegionWeight is added to the weights of a request with allowed regions, so that these
 // serve it even if the plan gives them none of the requests.
 const minRegionWeight = 1e-6
 
@@ -327,7 +332,7 @@
 	if kind.Outcome() == classifier.NotRun && x.status >= http.StatusInternalServerError {
 		x.status = http.StatusServiceUnavailable
 	}
-	if x.status == http.StatusServiceUnavailable {
+	if x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests {
 		wait := min(max(x.noUpstream.UntilCapacity, minRetryAfter), maxRetryAfter)
 		wait += time.Duration(rand.Float64() * retryAfterJitter * float64(wait))
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
@@ -358,6 +363,9 @@
 		entry.Str("route", x.route.Name).Str("class", x.route.Class.String()).Str("service", x.service).
 			Uint64("version", x.table.Version()).Uint64("object", x.object)
 		o.Meter.ObserveLatency(meter.Series{Service: x.service, Class: x.route.Class.String()}, took)
+		if x.account != nil {
+			entry.Str("account", x.account.Name)
+		}
 	}
 	if err != nil {
 		e := x.noUpstream.Excluded
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -11,6 +11,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,6 +61,11 @@
 	SetUpstreamFields(h http.Header, instance string, remaining time.Duration)
 	// ResponseMetadata returns what an upstream reports in a response.
 	ResponseMetadata(status int, h http.Header) ResponseMetadata
+	// AccountKey returns the key of the caller's client account, or "" without one.
+	AccountKey(h http.Header) string
+	// SetAccount removes the key of the caller's client account, and a name that the caller
+	// sent, from a request to an upstream, and sets the name of the account unless it is "".
+	SetAccount(h http.Header, account string)
 	// SetRequestID sets the ID of a request in a response that the host itself produces.
 	SetRequestID(h http.Header, id string)
 }
@@ -76,6 +82,12 @@
 	AllowCrossRegion(failing bool) bool
 }
 
+// Quotas limits the requests of client accounts.
+type Quotas interface {
+	// Allow reports whether a request of the account is within its quota, and counts it if so.
+	Allow(account string, now time.Time) bool
+}
+
 // Watchdog detects pauses of the process.
 type Watchdog interface {
 	// Pauses returns how often the process was paused so far.
@@ -85,12 +97,16 @@
 	AwaitConfirmed(ctx context.Context)
 }
 
-// Options configure a Steerer. Memory, Streams, Guard, Watchdog, Log and Meter are optional.
+// Options configure a Steerer. ConfigurationCurrent, Quotas, Memory, Streams, Guard, Watchdog, Log and Meter are optional.
 type Options struct {
 	Dialect Dialect
 	Table   func() *matcher.Table // nil without a configuration
-	Regions []string              // in the order of the plan's weights
-	Plan    Planner
+	// ConfigurationCurrent reports whether Table was confirmed to be the newest a short time ago.
+	// Otherwise a key that Table doesn't hold may be new. Nil means that it always is.
+	ConfigurationCurrent func() bool
+	Quotas               Quotas   // nil means that accounts have no quota
+	Regions              []string // in the order of the plan's weights
+	Plan                 Planner
 	// ColdRate returns how many requests per second this host may send to a cold upstream
 	// with a capacity of perSecond requests per second.
 	ColdRate func(u *registrar.Upstream, perSecond float64) float64
@@ -135,6 +151,9 @@
 	if o.Meter == nil {
 		o.Meter = meter.New()
 	}
+	if o.ConfigurationCurrent == nil {
+		o.ConfigurationCurrent = func() bool { return true }
+	}
 	if o.Guard == nil {
 		o.Guard = func(_ string, f func()) bool { f(); return false }
 	}
@@ -201,6 +220,9 @@
 	if x.route == nil {
 		return errNoRoute
 	}
+	if err := x.identifyAccount(); err != nil {
+		return err
+	}
 	routeTimeout := cmp.Or(x.route.Timeout, defaultTimeout)
 	callerTimeout, ok := x.s.options.Dialect.CallerTimeout(r.Header)
 	x.streamDeadline = x.call.Arrived.Add(callerTimeout)
@@ -219,3 +241,53 @@
 	x.s.options.Plan.CountRequest(x.service)
 	return nil
 }
+
+// identifyAccount finds the client account of the request. A key decides about the account also
+// on a public route, which needs none.
+func (x *exchange) identifyAccount() error {
+	accounts := x.table.Accounts()
+	if accounts == nil {
+		return nil
+	}
+	x.account = accounts.Find(x.s.options.Dialect.AccountKey(x.call.Request.Header))
+	switch {
+	case x.account == nil && x.route.Public:
+		return nil
+	case x.account == nil && !x.s.options.ConfigurationCurrent():
+		return errUnconfirmedKey
+	case x.account == nil:
+		return errUnknownKey
+	case x.s.options.Quotas != nil && x.account.Quota.Limited() && !x.s.options.Quotas.Allow(x.account.Name, time.Now()):
+		return errOverQuota
+	}
+	return nil
+}
+
+// accountName returns the name of the client account of the request, or "" without one.
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
+// urgency returns the urgency of the request, 0 for the most urgent.
+func (x *exchange) urgency() int {
+	if x.account != nil && x.account.HasUrgency {
+		return x.account.Urgency
+	}
+	return x.route.Priority
+}
+
+// allowsRegion reports whether upstreams of a region may serve the request.
+func (x *exchange) allowsRegion(region string) bool {
+	if len(x.route.Regions) > 0 && !slices.Contains(x.route.Regions, region) {
+		return false
+	}
+	return x.account == nil || len(x.account.Regions) == 0 || slices.Contains(x.account.Regions, region)
+}
+
+// restrictsRegions reports whether some regions may not serve the request.
+func (x *exchange) restrictsRegions() bool {
+	return len(x.route.Regions) > 0 || (x.account != nil && len(x.account.Regions) > 0)
+}
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -72,6 +72,16 @@
 }
 func (dialect) SetRequestID(h http.Header, id string) { h.Set("Id", id) }
 
+func (dialect) AccountKey(h http.Header) string { return h.Get("Key") }
+
+func (dialect) SetAccount(h http.Header, account string) {
+	delete(h, "Key")
+	delete(h, "Account")
+	if account != "" {
+		h.Set("Account", account)
+	}
+}
+
 // oneRegionPlanner sends all requests to one region.
 type oneRegionPlanner struct{}
 
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/version/authenticator"
 	"dandeliontrack.example/dandeliontrack/internal/version/normalizer"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -23,13 +24,20 @@
 	Idempotent Class = iota // may run more than once
 	AtMostOnce              // runs at most once for each attempt of the caller
 	Download                // may run more than once, has large responses
+	Upload                  // runs at most once as AtMostOnce, has large requests
 )
 
 // String returns the name used in logs.
-func (c Class) String() string { return [...]string{"lookup", "once", "download"}[min(c, Download)] }
+func (c Class) String() string {
+	return [...]string{"lookup", "once", "download", "upload"}[min(c, Upload)]
+}
 
 // Repeatable reports whether a request of the class may run more than once.
-func (c Class) Repeatable() bool { return c != AtMostOnce }
+func (c Class) Repeatable() bool { return c == Idempotent || c == Download }
+
+// Large reports whether requests or responses of the class are large, so that sending them to
+// another region costs bandwidth.
+func (c Class) Large() bool { return c == Download || c == Upload }
 
 // Backend is a service with its weight in the split of a route's requests.
 type Backend struct {
@@ -44,10 +52,12 @@
 	Host           string // in any spelling, see package normalizer
 	Prefix         string // begins and ends with a slash
 	Class          Class
+	UnknownClass   string        // the class as configured, if it is unknown; Class is AtMostOnce then
 	Timeout        time.Duration // maximum time that a request waits for its response
 	LatencyTarget  time.Duration // response time to aim at; 0 for none
 	AttemptLimit   int           // maximum number of upstreams that a request is sent to
 	Priority       int           // 0 is the highest
+	Public         bool          // requests need no key of a client account
 	Backends       []Backend     // at least one; the sum of the weights must be above 0
 	Regions        []string      // regions whose upstreams may serve it; empty for all
 	ObjectAffinity bool          // prefer one upstream for all requests for an object
@@ -76,6 +86,7 @@
 	services map[string]*Service
 	routes   int
 	limits   Limits
+	accounts *authenticator.Authenticator
 }
 
 // New validates its arguments and returns a Table of them. Its errors are of kind Invalid
@@ -140,26 +151,50 @@
 	return nil
 }
 
+// WithAccounts returns a copy of the table whose routes require a key of one of the accounts,
+// unless they are public.
+func (t *Table) WithAccounts(a *authenticator.Authenticator) *Table {
+	out := *t
+	out.accounts = a
+	return &out
+}
+
+// Accounts returns the client accounts, or nil if requests need no key.
+func (t *Table) Accounts() *authenticator.Authenticator { return t.accounts }
+
 // Version returns the version number.
 func (t *Table) Version() uint64 { return t.version }
 
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int { return t.routes }
 
+// UnknownClasses returns the routes whose class is unknown.
+func (t *Table) UnknownClasses() []*Route {
+	var out []*Route
+	for _, list := range t.hosts {
+		for _, r := range list {
+			if r.UnknownClass != "" {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
 // Limits returns the limits on what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
 
 // Service returns a service by name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// LatencyTarget returns the shortest latency target of the routes to a service, apart from
-// downloads, and 0 if there is none.
+// LatencyTarget returns the shortest latency target of the routes to a service, apart from those
+// with large requests or responses, and 0 if there is none.
 func (t *Table) LatencyTarget(service string) time.Duration {
 	shortest := time.Duration(0)
 	for _, list := range t.hosts {
 		for _, r := range list {
 			uses := slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service })
-			if uses && r.Class != Download && r.LatencyTarget > 0 && (shortest == 0 || r.LatencyTarget < shortest) {
+			if uses && !r.Class.Large() && r.LatencyTarget > 0 && (shortest == 0 || r.LatencyTarget < shortest) {
 				shortest = r.LatencyTarget
 			}
 		}
--- a/pkg/classifier/classifier.go
+++ b/pkg/classifier/classifier.go
@@ -39,6 +39,8 @@
 	Truncated
 	InDoubt
 	Unconfirmed
+	Unauthorized
+	QuotaExceeded
 	kindCount
 )
 
@@ -96,6 +98,8 @@
 	Truncated:        {"truncated", 502, MayHaveRun, 7, false, "the answer ended before it was complete"},
 	InDoubt:          {"in_doubt", 409, MayHaveRun, 7, false, "a claim on the request key has no known outcome"},
 	Unconfirmed:      {"unknown_yet", 503, MayHaveRun, 8, true, "it is not known yet whether the publication was accepted"},
+	Unauthorized:     {"unauthorized", 401, NotRun, 2, false, "the request has no key of a client account"},
+	QuotaExceeded:    {"over_quota", 429, NotRun, 5, true, "the client account has used up its quota"},
 }
 
 // All returns every kind in the order of docs/errors.md.
