Limit the requests of client accounts to their quotas over all hosts

Cause: quotas of accounts were decoded and not enforced.

Each host publishes moving averages of the requests of an account that it admits and receives, and learns those of the other hosts with the syncs. It admits a request while the sum is below the quota, or while it is below its own part, which follows its part of the demand. A host without contact uses its last part only, and the others leave that part unused. Requests above the quota get 429, with the time until a request is expected to be allowed in Retry-After.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -32,6 +32,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
 	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
 	"dandeliontrack.example/dandeliontrack/internal/process/watchdog"
+	"dandeliontrack.example/dandeliontrack/internal/quota/limiter"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
 	"dandeliontrack.example/dandeliontrack/internal/request/steerer"
 	"dandeliontrack.example/dandeliontrack/internal/sleeper"
@@ -57,9 +58,10 @@
 	RetryBudget     budgeter.Limit // limit of retries and hedges
 	MaxShift        float64        // maximum fraction of the requests that changes region within ShiftWindow
 	ShiftWindow     time.Duration
-	ColdLimit       throttler.Limit // limit of requests to cold upstreams
-	CPUShare        float64         // in processors
-	MemoryLimit     int64           // limit of the process in bytes, 0 for none
+	ColdLimit       throttler.Limit  // limit of requests to cold upstreams
+	Quota           limiter.Settings // how far all hosts together may exceed the quotas of client accounts
+	CPUShare        float64          // in processors
+	MemoryLimit     int64            // limit of the process in bytes, 0 for none
 }
 
 // maxShiftPerSecond returns the maximum fraction of the requests that traffic plans move
@@ -119,6 +121,7 @@
 	plan      *apportioner.Apportioner
 	budget    *budgeter.Budgeter
 	throttler *throttler.Throttler
+	limiter   *limiter.Limiter
 	ranker    *ranker.Ranker
 	sender    *sender.Sender
 	acceptor  *acceptor.Acceptor
@@ -137,9 +140,10 @@
 	readsStore      atomic.Bool // whether this host reads the store for its region
 	readerAddresses atomic.Pointer[[]string]
 	started         time.Time
-	lastContact     atomic.Int64 // time of the last response of another host, in nanoseconds since started
-	syncCount       int          // calls of syncPartner; used by one goroutine
-	dialTimes       sync.Map     // time that a connection to a host took, by address
+	lastContact     atomic.Int64    // time of the last response of another host, in nanoseconds since started
+	syncCount       int             // calls of syncPartner; used by one goroutine
+	limitedAccounts map[string]bool // accounts whose quota was reached; used by tickLoop
+	dialTimes       sync.Map        // time that a connection to a host took, by address
 
 	lookupTTL       atomic.Int64 // in nanoseconds
 	stopGracePeriod atomic.Int64 // in nanoseconds
@@ -174,6 +178,8 @@
 	c.gossiper.UseGuard(c.recoverer.Do)
 	c.gossiper.OnChange(c.memberChanged)
 	c.throttler = throttler.New(s.Name, s.ColdLimit, now)
+	c.limiter = limiter.New(s.Name, s.Quota, now)
+	c.meter.SetValues(meter.QuotaUse, c.quotaUse)
 	c.registrar = registrar.New(s.Zones)
 	c.registrar.OnLeave(c.upstreamLeaving)
 	c.surveyor = surveyor.New(s.Name, s.Region, now)
@@ -189,7 +195,7 @@
 	c.meter.SetFunc(meter.BodyBytes, memory.Used)
 	c.meter.SetFunc(meter.StreamBytes, streams.Used)
 	requests := steerer.New(steerer.Options{
-		Dialect: p, Table: c.table.Load, ConfigurationCurrent: c.configurationCurrent, Regions: c.regions, Plan: c, ColdRate: c.coldRate, RateShare: c.rateShare,
+		Dialect: p, Table: c.table.Load, ConfigurationCurrent: c.configurationCurrent, Quotas: c.limiter, Regions: c.regions, Plan: c, ColdRate: c.coldRate, RateShare: c.rateShare,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
 		Memory: memory, Streams: streams, StreamBytes: upstreamReceiveBytes, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
 	})
@@ -363,6 +369,7 @@
 	c.stopGracePeriod.Store(int64(s.StopGracePeriod))
 	c.budget.SetLimit(s.RetryBudget)
 	c.throttler.SetLimit(s.ColdLimit)
+	c.limiter.SetSettings(s.Quota, time.Now())
 	c.plan.SetShiftRate(s.maxShiftPerSecond())
 	c.log.Event(logger.SettingsReloaded).Dur("lifetime", s.LookupTTL).Dur("grace", s.StopGracePeriod).
 		Float64("retries", s.RetryBudget.Ratio).Float64("shift", s.MaxShift).Float64("cold", s.ColdLimit.Factor).Send()
--- a/internal/process/conductor/exchange.go
+++ b/internal/process/conductor/exchange.go
@@ -44,13 +44,13 @@
 	return live[rand.IntN(len(live))].Address, true
 }
 
-// syncWith sends the demand, the rate limits of upstreams and the table versions that this
-// host knows to another host, and merges the demand, the limits and the rows of its
-// response.
+// syncWith sends the demand, the rate limits of upstreams, the use of quotas and the table
+// versions that this host knows to another host, and merges the demand, the limits, the use
+// and the rows of its response.
 func (c *Conductor) syncWith(ctx context.Context, address string) {
 	timeout := syncTimeout
 	now := time.Now()
-	request := &framer.Sync{Demands: c.surveyor.Demands(c.readsStore.Load(), now), RateLimits: c.rateLimits(now)}
+	request := &framer.Sync{Demands: c.surveyor.Demands(c.readsStore.Load(), now), RateLimits: c.rateLimits(now), Usage: c.limiter.Usage(now)}
 	for name, f := range c.followers {
 		if version, full, ok := f.SyncRequest(); ok {
 			request.Tables = append(request.Tables, &framer.TableVersion{Table: name, Era: version.Era(), Version: version.Number(), Whole: full})
@@ -72,6 +72,7 @@
 	c.lastContact.Store(int64(time.Since(c.started)))
 	response := envelope.GetSynced()
 	c.surveyor.Merge(response.GetDemands(), time.Now())
+	c.limiter.Merge(response.GetUsage(), time.Now())
 	c.mergeRateLimits(response.GetRateLimits(), now) // no later than the response, so that ages are not too low
 	for _, t := range response.GetTables() {
 		f := c.followers[t.Table]
@@ -137,13 +138,16 @@
 	}
 }
 
-// syncResponse merges the demand and the rate limits of another host and returns those of
+// syncResponse merges the demand, the rate limits and the use of quotas of another host and returns those of
 // this host and the rows that the other one lacks.
 func (c *Conductor) syncResponse(request *framer.Sync) *framer.Synced {
 	now := time.Now()
 	c.surveyor.Merge(request.Demands, now)
 	c.mergeRateLimits(request.RateLimits, now)
-	out := &framer.Synced{Demands: c.surveyor.Demands(c.readsStore.Load(), now), RateLimits: c.rateLimits(now)}
+	if c.watchdog.Confirmed() { // otherwise the request may have been buffered during a pause
+		c.limiter.Merge(request.Usage, now)
+	}
+	out := &framer.Synced{Demands: c.surveyor.Demands(c.readsStore.Load(), now), RateLimits: c.rateLimits(now), Usage: c.limiter.Usage(now)}
 	for _, t := range request.Tables {
 		f := c.followers[t.Table]
 		if f == nil {
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -276,6 +276,8 @@
 		c.electReaders(live)
 		c.recordDialTimes(live)
 		c.throttler.SetLive(names)
+		c.limiter.SetFleet(len(live)+1, c.fleetSize(), now)
+		c.logQuotas(now)
 		for _, service := range c.registrar.Services() {
 			c.movePlans(now, service)
 		}
--- a/internal/process/conductor/pause.go
+++ b/internal/process/conductor/pause.go
@@ -36,6 +36,7 @@
 func (c *Conductor) confirmState(ctx context.Context, length time.Duration, pauses uint64) {
 	begun := time.Now()
 	c.throttler.Resume(begun)
+	c.limiter.Resume(begun)
 	for _, f := range c.followers {
 		f.ResetConfirmation()
 	}
--- a/internal/process/conductor/pause_internal_test.go
+++ b/internal/process/conductor/pause_internal_test.go
@@ -13,6 +13,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
 	"dandeliontrack.example/dandeliontrack/internal/process/watchdog"
+	"dandeliontrack.example/dandeliontrack/internal/quota/limiter"
 )
 
 // source is a store whose calls return err.
@@ -49,7 +50,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				start := time.Now()
 				h := &Conductor{
-					started: start, throttler: throttler.New("h", throttler.Limit{}, start),
+					started: start, throttler: throttler.New("h", throttler.Limit{}, start), limiter: limiter.New("h", limiter.Settings{}, start),
 					watchdog: watchdog.New(func() time.Duration { return time.Since(start) }),
 				}
 				f := follower.New("t", source{c.err}, 700*time.Millisecond, discardWatcher{})
--- a/internal/process/conductor/reload_internal_test.go
+++ b/internal/process/conductor/reload_internal_test.go
@@ -12,6 +12,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/apportioner"
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
 	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
+	"dandeliontrack.example/dandeliontrack/internal/quota/limiter"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -25,7 +26,7 @@
 	}
 	c := &Conductor{
 		budget: budgeter.New(s.RetryBudget, func() int { return 1 }, now.Add(-time.Minute)), throttler: throttler.New("h", s.ColdLimit, now),
-		plan: apportioner.New(0, s.maxShiftPerSecond()),
+		limiter: limiter.New("h", limiter.Settings{}, now), plan: apportioner.New(0, s.maxShiftPerSecond()),
 	}
 	c.throttler.SetRecorded(nil)
 	slots, from, to := []float64{1, 1}, []float64{1, 0}, []float64{0, 1}
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -119,6 +119,7 @@
 	c.installedValue = r.Value
 	c.table.Store(t)
 	c.gossiper.SetVersion(t.Version())
+	c.limiter.SetQuotas(accountsOf(t), now)
 	for _, r := range t.UnknownClasses() {
 		c.log.Event(logger.ClassUnknown).Str("route", r.Name).Str("class", r.UnknownClass[:min(len(r.UnknownClass), maxLoggedErrorBytes)]).Send()
 	}
--- a/internal/process/conductor/rows_internal_test.go
+++ b/internal/process/conductor/rows_internal_test.go
@@ -26,6 +26,8 @@
 	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/process/surveyor"
 	"dandeliontrack.example/dandeliontrack/internal/process/throttler"
+	"dandeliontrack.example/dandeliontrack/internal/process/watchdog"
+	"dandeliontrack.example/dandeliontrack/internal/quota/limiter"
 	"dandeliontrack.example/dandeliontrack/internal/version/matcher"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -55,7 +57,8 @@
 func newRowConductor() (c *Conductor, log *bytes.Buffer) {
 	log = new(bytes.Buffer)
 	c = &Conductor{platform: textPlatform{}, registrar: registrar.New(map[string]string{"a1": "a"}), log: logger.New(log, zerolog.DebugLevel, "h")}
-	c.recoverer = recoverer.New(c.log, meter.New())
+	c.recoverer, c.watchdog = recoverer.New(c.log, meter.New()), watchdog.New(nil)
+	c.limiter = limiter.New("h", limiter.Settings{}, time.Now())
 	return c, log
 }
 
--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -34,6 +34,7 @@
 	SharesChanged          Event = 401
 	HolderGone             Event = 402
 	LoanTaken              Event = 403
+	QuotaReached           Event = 404
 	UpstreamLeaving        Event = 501
 	ConnectionUnresponsive Event = 502
 	UpstreamUnreachable    Event = 503
@@ -77,6 +78,7 @@
 	SharesChanged:          {zerolog.InfoLevel, "shares changed", "The field shares gives the number of shares of the ledger's limits that the host now holds."},
 	HolderGone:             {zerolog.WarnLevel, "holder gone", "An operator stated that the holder's machine no longer exists; its shares become free after 33 s."},
 	LoanTaken:              {zerolog.DebugLevel, "loan taken", "Another host lent units of the limit for at most 30 s."},
+	QuotaReached:           {zerolog.InfoLevel, "quota reached", "Requests of a client account are refused because of its quota, or none was for 5 s if limited is false; own and fleet are the fractions of the quota that this host and all hosts known to it use, and part is the fraction for this host."},
 	UpstreamLeaving:        {zerolog.InfoLevel, "upstream leaving", "The upstream gets no new requests; the field sign gives the reason: its registration, or a response in which it said so."},
 	ConnectionUnresponsive: {zerolog.WarnLevel, "connection unresponsive", "Connections to the address carried no data while a new one works; they are closed."},
 	UpstreamUnreachable:    {zerolog.WarnLevel, "upstream unreachable", "The address refused a connection, or did not respond to a probe on a new one."},
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -19,8 +19,8 @@
 // Counter is the name of a counter.
 type Counter string
 
-// The counters. Each counts since the process started, except BodyBytes, which is a
-// current value.
+// The counters. Each counts since the process started, except BodyBytes,
+// StreamBytes and QuotaUse, which are current values.
 const (
 	Requests                Counter = "requests"
 	Refusals                Counter = "refusals"
@@ -43,6 +43,7 @@
 	BodyBytes               Counter = "body_bytes"
 	StreamBytes             Counter = "stream_bytes"
 	Panics                  Counter = "panics"
+	QuotaUse                Counter = "quota_use"
 )
 
 // meanings holds the descriptions of the counters in docs/metrics.md.
@@ -68,6 +69,7 @@
 	BodyBytes:               "bytes of requests and responses held in memory now",
 	StreamBytes:             "bytes of buffers for responses that are passed on as they arrive now",
 	Panics:                  "recovered panics; the affected task failed and the process continued",
+	QuotaUse:                "percent of the quotas of client accounts that requests of this host use now, by account, the ten largest",
 }
 
 // Counters returns all counters, sorted by name.
@@ -159,6 +161,11 @@
 	m.vars.Set(string(c), expvar.Func(func() any { return value() }))
 }
 
+// SetValues makes a counter report several values by name, like SetFunc.
+func (m *Meter) SetValues(c Counter, values func() map[string]int64) {
+	m.vars.Set(string(c), expvar.Func(func() any { return values() }))
+}
+
 // CountRefusal counts an error response of the kind with this name.
 func (m *Meter) CountRefusal(kind string) { m.refusalsByKind.Add(kind, 1) }
 
--- /dev/null
+++ b/internal/quota/limiter/account.go
@@ -0,0 +1,381 @@
+package limiter
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/version/authenticator"
+)
+
+const (
+	// minAverage and maxAverage bound the time constant of the average that is compared with
+	// the quota. It is otherwise the time in which Burst requests arrive at PerSecond.
+	minAverage = 400 * time.Millisecond
+	maxAverage = 2 * time.Second
+	// demandAverage is the time constant of the average of the demand.
+	demandAverage = time.Second
+	// targetExcess and targetSlack are the fractions of Settings.Excess and Settings.Slack that
+	// the hosts use in a steady state; the rest is for the time that messages take. maxExcess
+	// and maxSlack are those up to which requests are admitted within the window.
+	targetExcess, targetSlack = 0.3, 0.5
+	maxExcess, maxSlack       = 0.6, 0.7
+	// limitedTime is how long an account is reported as limited after a refusal.
+	limitedTime = 5 * time.Second
+	// baselineAverage is the time constant of the average with which the demand is compared.
+	baselineAverage = 6 * time.Second
+	// slots is the number of parts of the window in which requests are counted.
+	slots = 20
+	// refreshInterval is how often the sums over the other hosts are computed.
+	refreshInterval = 25 * time.Millisecond
+	// quietRefreshInterval is the same for an account that is not near its quota.
+	quietRefreshInterval = 100 * time.Millisecond
+	// forgottenFraction is the fraction of the limit of the window that is assumed to be used
+	// when all hosts have just started.
+	forgottenFraction = 0.7
+	// grace is the time that the other hosts have to report after an account came near its
+	// quota. A host that hasn't reported by then may be cut off.
+	grace = 600 * time.Millisecond
+	// maxReportAge is the age from which the last report of a host is out of date while the
+	// account is near its quota.
+	maxReportAge = 1500 * time.Millisecond
+	// reservedTime is how long the part of a silent host stays reserved. Hosts that are cut off
+	// for a longer time have lost their callers.
+	reservedTime = 16 * time.Second
+	// maxReserved bounds the part that is reserved for silent hosts.
+	maxReserved = 0.9
+	// nearTime is how long an account counts as near its quota.
+	nearTime = 1500 * time.Millisecond
+	// nearDistance is how far below its quota an account is near it, as a fraction. It is smaller
+	// for accounts with less than distanceRate requests per second: their use varies more, and the
+	// slack is larger than what they can admit while messages are under way.
+	nearDistance, distanceRate = 0.2, 20
+	// riseFactor, riseDeviations and minRise state how far the demand at a host rises above its
+	// usual value before other hosts are told.
+	riseFactor, riseDeviations, minRise = 1.6, 2, 1.1
+	// minRiseFraction is the fraction of PerSecond below which a rise has no effect.
+	minRiseFraction = 0.04
+	// smallDemand is the demand of a host in requests per second that is averaged over a longer
+	// time, because few requests say little about it.
+	smallDemand = 3
+	// allowanceFraction is the fraction of its part that a host may admit at once, in addition
+	// to one request and to its part of the slack.
+	allowanceFraction = 0.3
+	// overPart is the factor by which a host may exceed its part while the others use less.
+	overPart = 1.5
+)
+
+// report is what is known about the use of an account by another host.
+type report struct {
+	id      uint32  // of the host
+	start   uint64  // of its process, in Unix milliseconds
+	rate    float64 // admitted requests per second
+	demand  float64 // received requests per second
+	count   float64 // admitted within the window
+	sampled time.Time
+	part    float64 // of the quota, computed while the report was up to date
+	sends   int     // remaining messages that pass the report on
+}
+
+// account is the state of one account on one host.
+type account struct {
+	name string
+	near *nearSet
+
+	mu      sync.Mutex
+	quota   authenticator.Quota
+	window  time.Duration
+	average time.Duration
+	limit   float64 // of the average count of admitted requests
+	most    float64 // of admitted requests within the window
+	slack   float64
+	changed time.Time // when the quota was last lowered
+
+	epoch    time.Time // start of the process
+	last     time.Time // of the averages
+	admitted float64   // average count of admitted requests
+	demand   float64   // average of received requests per second
+	baseline float64   // the same over baselineAverage
+	ring     [slots]uint32
+	ringAt   int64 // number of the newest slot
+	ringSum  float64
+
+	reports   []report
+	pending   int     // reports to pass on
+	published float64 // demand in the last report of this host
+	publishAt time.Time
+	ownSends  int // remaining messages that carry that report
+
+	nearUntil, nearSince time.Time
+	refreshAt, refusedAt time.Time
+	others, othersCount  float64 // estimates of the sums over other hosts
+	part                 float64 // of this host
+	carriers             float64 // number of hosts among which the demand is spread
+	allowance            float64 // requests that this host may admit from its part
+	solitude             solitude
+}
+
+func newAccount(name string, epoch time.Time, near *nearSet) *account {
+	return &account{name: name, near: near, epoch: epoch, last: epoch, part: 1, carriers: 1}
+}
+
+func (a *account) currentQuota() authenticator.Quota {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.quota
+}
+
+// setQuota computes the limits from the quota. An average that decays with the time constant T
+// and stays below limit admits at most limit x (1 + window/T) within the window.
+func (a *account) setQuota(q authenticator.Quota, s Settings, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.window > 0 {
+		a.advance(now)
+	}
+	if q.PerSecond*s.Window.Seconds()+q.Burst < a.quota.PerSecond*a.window.Seconds()+a.quota.Burst {
+		a.changed = now
+	}
+	average := time.Duration(min(max(q.Burst/q.PerSecond, minAverage.Seconds()), maxAverage.Seconds()) * float64(time.Second))
+	if a.average > 0 {
+		a.admitted *= float64(average) / float64(a.average)
+	}
+	a.quota, a.window, a.average, a.slack = q, s.Window, average, s.Slack
+	nominal := q.PerSecond*s.Window.Seconds() + q.Burst
+	target := nominal*(1+targetExcess*s.Excess) + targetSlack*s.Slack
+	a.limit = max(target*average.Seconds()/(average+s.Window).Seconds(), q.PerSecond*average.Seconds(), 1)
+	a.most = nominal*(1+maxExcess*s.Excess) + maxSlack*s.Slack
+	a.refreshAt = now
+}
+
+func (a *account) resume(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	a.allowance, a.refreshAt = 0, now
+}
+
+// advance brings the averages and counts up to date. The caller holds mu.
+func (a *account) advance(now time.Time) {
+	elapsed := now.Sub(a.last)
+	if elapsed <= 0 {
+		return
+	}
+	a.last = now
+	a.admitted *= decay(elapsed, a.average)
+	a.baseline = a.demand + (a.baseline-a.demand)*max(1-float64(elapsed)/float64(baselineAverage), 0)
+	a.demand *= decay(elapsed, demandAverage)
+	share := a.part * a.limit
+	a.allowance = min(a.allowance+share*float64(elapsed)/float64(a.average), a.maxAllowance())
+	slot := int64(now.Sub(a.epoch) / (a.window / slots))
+	for range min(max(slot-a.ringAt, 0), slots) {
+		a.ringAt++
+		i := a.ringAt % slots
+		a.ringSum -= float64(a.ring[i])
+		a.ring[i] = 0
+	}
+	a.ringAt = max(a.ringAt, slot)
+}
+
+// maxAllowance returns how many requests this host may admit at once from its part. The caller
+// holds mu.
+func (a *account) maxAllowance() float64 {
+	return 1 + min(1.5, 1.5*a.slack*a.solitude.equal) + allowanceFraction*a.part*a.limit
+}
+
+func (a *account) allow(now time.Time, s solitude) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	a.demand += 1 / demandAverage.Seconds()
+	if !now.Before(a.refreshAt) || s.isolated != a.solitude.isolated {
+		a.refresh(now, s)
+	}
+	if !a.fits(now) {
+		a.refusedAt = now
+		return false
+	}
+	a.admitted++
+	a.allowance = max(a.allowance-1, 0)
+	a.ring[a.ringAt%slots]++
+	a.ringSum++
+	return true
+}
+
+// fits reports whether one more request is within the quota. The caller holds mu.
+func (a *account) fits(now time.Time) bool {
+	// After a lower quota was set, the window still holds requests of the old one.
+	if now.Sub(a.changed) > a.window && a.ringSum+1 > max(a.most-a.othersCount, a.part*a.most) {
+		return false
+	}
+	if a.allowance >= 1 {
+		return true
+	}
+	gap := a.limit - a.others - a.admitted - 1
+	if a.solitude.isolated || gap < 0 {
+		return false
+	}
+	// Other hosts find the same gap before they learn of the requests that fill it.
+	return !a.isNear(now) || a.admitted+1 <= overPart*a.part*a.limit+gap/a.carriers+1
+}
+
+// isNear reports whether a host found the account near its quota a short time ago. The caller
+// holds mu.
+func (a *account) isNear(now time.Time) bool { return now.Before(a.nearUntil) }
+
+// markNear records that a host found the account near its quota. The caller holds mu.
+func (a *account) markNear(at, now time.Time) {
+	until := at.Add(nearTime)
+	if !until.After(a.nearUntil) || !until.After(now) {
+		return
+	}
+	if !a.isNear(now) {
+		a.nearSince = now
+		a.allowance = min(a.allowance, allowanceFraction*a.part*a.limit)
+		a.near.add(a)
+	}
+	a.nearUntil = until
+}
+
+// refresh computes the parts and the sums over the other hosts. The caller holds mu.
+func (a *account) refresh(now time.Time, s solitude) {
+	a.solitude = s
+	a.updateParts(now)
+	a.others, a.othersCount = 0, a.forgotten(now)
+	for i := range a.reports {
+		use, count := a.estimate(&a.reports[i], now)
+		a.others += use
+		a.othersCount += count
+	}
+	if a.seemsNear() {
+		a.markNear(now, now)
+	}
+	a.refreshAt = now.Add(refreshInterval)
+	if !a.isNear(now) {
+		a.refreshAt = now.Add(quietRefreshInterval)
+	}
+}
+
+// forgotten returns how many requests the hosts may have admitted within the window before all
+// of them started. The caller holds mu.
+func (a *account) forgotten(now time.Time) float64 {
+	age := now.Sub(a.epoch)
+	if age >= a.window {
+		return 0
+	}
+	for i := range a.reports {
+		if a.epoch.Sub(time.UnixMilli(int64(a.reports[i].start))) > a.window {
+			return 0 // a host that was there before reports its count
+		}
+	}
+	return forgottenFraction * a.most * (1 - float64(age)/float64(a.window))
+}
+
+// seemsNear reports whether the account is near its quota, or the demand at this host rises so
+// fast that it may be. The caller holds mu.
+func (a *account) seemsNear() bool {
+	distance := nearDistance * a.quota.PerSecond / (a.quota.PerSecond + distanceRate)
+	if a.admitted+a.others >= (1-distance)*a.limit || a.ringSum+a.othersCount >= (1-distance)*a.most {
+		return true
+	}
+	rise := riseFactor*a.baseline + riseDeviations*math.Sqrt(a.baseline) + minRise
+	return a.demand > max(rise, minRiseFraction*a.quota.PerSecond)
+}
+
+// weight returns the demand by which the quota is divided. The caller holds mu.
+func (a *account) weight() float64 {
+	most := max(a.demand, a.baseline)
+	return a.baseline + (a.demand-a.baseline)*most/(most+smallDemand)
+}
+
+// isSilent reports whether the host of a report may be cut off. The caller holds mu.
+func (a *account) isSilent(r *report, now time.Time) bool {
+	return a.solitude.isolated || (a.isNear(now) && now.Sub(a.nearSince) > grace && now.Sub(r.sampled) > maxReportAge)
+}
+
+// updateParts divides the quota: silent hosts keep their last part, and the others divide the
+// rest in proportion to their demand. The caller holds mu.
+func (a *account) updateParts(now time.Time) {
+	near := a.isNear(now)
+	switch {
+	case a.solitude.isolated:
+		a.part = max(min(a.part, maxReserved), a.solitude.floor)
+		if len(a.reports) == 0 {
+			a.part = a.solitude.floor
+		}
+		return
+	case near && now.Sub(a.nearSince) <= grace:
+		return // the reports are from before the demand rose
+	}
+	a.reports = slices.DeleteFunc(a.reports, func(r report) bool {
+		age := now.Sub(r.sampled)
+		return age > maxBackgroundAge || (near && age > reservedTime && now.Sub(a.nearSince) > reservedTime)
+	})
+	own := a.published // of the same time as the reports
+	if near {
+		own = a.weight()
+	}
+	reserved, total := 0.0, own
+	for i := range a.reports {
+		if r := &a.reports[i]; a.isSilent(r, now) {
+			reserved += r.part
+		} else {
+			total += r.demand
+		}
+	}
+	a.divide(own, total, 1-min(reserved, maxReserved), now)
+}
+
+// divide divides the rest of the quota among hosts with a total demand. The caller holds mu.
+func (a *account) divide(own, total, rest float64, now time.Time) {
+	a.part = a.solitude.floor
+	if total > 0 {
+		a.part = rest * own / total
+	}
+	squares := a.part * a.part
+	for i := range a.reports {
+		r := &a.reports[i]
+		if total > 0 && !a.isSilent(r, now) {
+			r.part = rest * r.demand / total
+		}
+		squares += r.part * r.part
+	}
+	a.carriers = max(1/max(squares, 1e-6), 1)
+}
+
+// estimate returns the average count and the count within the window of another host now. The
+// caller holds mu.
+func (a *account) estimate(r *report, now time.Time) (use, count float64) {
+	age := now.Sub(r.sampled)
+	average := a.average.Seconds()
+	if a.isSilent(r, now) {
+		remaining := max(0, 1-float64(age)/float64(a.window))
+		return max(r.rate*average*remaining, r.part*a.limit), max(r.count*remaining, r.part*a.most)
+	}
+	use = r.rate * average
+	if !a.isNear(now) {
+		return use, r.count
+	}
+	next := min(r.demand*average, max(use, r.part*a.limit))
+	return use + (next-use)*float64(age)/float64(age+a.average), r.count
+}
+
+// untilAllowed returns the time until the part of this host allows a request.
+func (a *account) untilAllowed(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	perSecond := a.part * a.limit / a.average.Seconds()
+	if a.allowance >= 1 || perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(min((1-a.allowance)/perSecond, a.window.Seconds()) * float64(time.Second))
+}
+
+func (a *account) use(now time.Time) Use {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	return Use{Account: a.name, Own: a.admitted / a.limit, Fleet: (a.admitted + a.others) / a.limit, Part: a.part, Limited: !a.refusedAt.IsZero() && now.Sub(a.refusedAt) < limitedTime}
+}
--- /dev/null
+++ b/internal/quota/limiter/gossip.go
@@ -0,0 +1,272 @@
+package limiter
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
+)
+
+const (
+	// backgroundInterval is how often a host reports its use of an account that is not near its
+	// quota. The parts of hosts that are cut off follow from these reports.
+	backgroundInterval = 10 * time.Second
+	// maxBackgroundAge is the age from which such a report is dropped.
+	maxBackgroundAge = 40 * time.Second
+	// minBackgroundFraction is the fraction of a quota from which its use is reported.
+	minBackgroundFraction = 0.02
+	// minBackgroundDemand is the demand in requests per second from which it is reported, and
+	// minReportedDemand that for an account near its quota.
+	minBackgroundDemand, minReportedDemand = 0.1, 0.01
+	// backgroundBytes and backgroundBurst bound the bytes of these reports per second.
+	backgroundBytes = 700
+	backgroundBurst = 700
+	// entryBytes and accountBytes are the approximate sizes of a report in a message, and of its
+	// account.
+	entryBytes, accountBytes = 26, 18
+	// scanned bounds the accounts that are checked for one message.
+	scanned = 128
+	// maxNearAccounts and maxNearEntries bound the reports about accounts near their quota in
+	// one message.
+	maxNearAccounts, maxNearEntries = 8, 48
+	// ownSends and relaySends are the numbers of messages that carry a report.
+	ownSends, relaySends = 4, 3
+	// minReportInterval is the time by which a report must be newer to replace another one.
+	minReportInterval = 50 * time.Millisecond
+	maxRate           = 1e9
+	maxMessageAge     = uint32(maxBackgroundAge / time.Millisecond)
+)
+
+// outbox is the state of the messages of a Limiter.
+type outbox struct {
+	mu      sync.Mutex
+	next    int       // account at which the next scan starts
+	bytes   float64   // that background reports may take now
+	bytesAt time.Time // of bytes
+}
+
+// nearSet holds the accounts that are near their quota.
+type nearSet struct {
+	mu       sync.Mutex
+	accounts []*account
+}
+
+func (s *nearSet) add(a *account) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Contains(s.accounts, a) {
+		s.accounts = append(s.accounts, a)
+	}
+}
+
+// take removes and returns all accounts.
+func (s *nearSet) take() []*account {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.accounts
+	s.accounts = nil
+	return out
+}
+
+// Usage returns the reports to send to another host.
+func (l *Limiter) Usage(now time.Time) []*framer.Usage {
+	l.outbox.mu.Lock()
+	defer l.outbox.mu.Unlock()
+	return append(l.nearUsage(now), l.backgroundUsage(now)...)
+}
+
+// nearUsage returns the reports about accounts near their quota. The caller holds outbox.mu.
+func (l *Limiter) nearUsage(now time.Time) (out []*framer.Usage) {
+	near := l.near.take()
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	entries, solitude := maxNearEntries, l.solitude(now)
+	for _, a := range near {
+		if len(out) < maxNearAccounts && entries > 0 {
+			if u := a.nearUsage(now, solitude, l, &entries); u != nil {
+				out = append(out, u)
+			}
+		}
+		a.keepNear(now)
+	}
+	return out
+}
+
+// keepNear returns the account to the set while it is near its quota.
+func (a *account) keepNear(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isNear(now) {
+		a.near.add(a)
+	}
+}
+
+func (a *account) nearUsage(now time.Time, s solitude, l *Limiter, entries *int) *framer.Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	if !now.Before(a.refreshAt) {
+		a.refresh(now, s)
+	}
+	if !a.isNear(now) {
+		return nil
+	}
+	u := &framer.Usage{Account: a.name, NearMilliseconds: uint32(now.Sub(a.nearUntil.Add(-nearTime)).Milliseconds()) + 1}
+	if a.weight() > minReportedDemand || a.ringSum > 0 {
+		a.published = a.weight()
+		appendEntry(u, &report{id: l.id, start: l.start, rate: a.admitted / a.average.Seconds(), demand: a.published, count: a.ringSum, sampled: now}, now)
+		*entries--
+	}
+	*entries -= a.passOn(u, *entries, now)
+	return u
+}
+
+// passOn adds up to n reports of other hosts to a message and returns their number. The caller
+// holds mu.
+func (a *account) passOn(u *framer.Usage, n int, now time.Time) (passed int) {
+	if a.pending == 0 {
+		return 0
+	}
+	start := 0
+	if len(a.reports) > 0 {
+		start = rand.IntN(len(a.reports))
+	}
+	a.pending = 0
+	for i := range a.reports {
+		r := &a.reports[(start+i)%len(a.reports)]
+		if r.sends > 0 && passed < n {
+			r.sends--
+			passed++
+			appendEntry(u, r, now)
+		}
+		a.pending += r.sends
+	}
+	return passed
+}
+
+// backgroundUsage returns reports about accounts that are not near their quota, a few per
+// message. The caller holds outbox.mu.
+func (l *Limiter) backgroundUsage(now time.Time) (out []*framer.Usage) {
+	o := &l.outbox
+	if !o.bytesAt.IsZero() {
+		o.bytes = min(o.bytes+backgroundBytes*now.Sub(o.bytesAt).Seconds(), backgroundBurst)
+	}
+	o.bytesAt = now
+	accounts := *l.ordered.Load()
+	for range min(len(accounts), scanned) {
+		if o.bytes < accountBytes+entryBytes {
+			break
+		}
+		a := accounts[o.next%len(accounts)]
+		o.next = (o.next + 1) % len(accounts)
+		if u := a.backgroundUsage(now, l, int((o.bytes-accountBytes)/entryBytes)); u != nil {
+			out = append(out, u)
+			o.bytes -= accountBytes + float64(len(u.Hosts))*entryBytes
+		}
+	}
+	return out
+}
+
+func (a *account) backgroundUsage(now time.Time, l *Limiter, entries int) *framer.Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isNear(now) {
+		return nil
+	}
+	a.advance(now)
+	if least := max(minBackgroundFraction*a.quota.PerSecond, minBackgroundDemand); !now.Before(a.publishAt) && max(a.baseline, a.published) >= least {
+		a.published, a.publishAt, a.ownSends = a.baseline, now.Add(backgroundInterval), ownSends
+	}
+	if a.ownSends == 0 && a.pending == 0 {
+		return nil
+	}
+	u := &framer.Usage{Account: a.name}
+	if a.ownSends > 0 {
+		a.ownSends--
+		entries--
+		appendEntry(u, &report{id: l.id, start: l.start, rate: a.baseline, demand: a.published, count: a.baseline * a.window.Seconds(), sampled: now}, now)
+	}
+	a.passOn(u, entries, now)
+	return u
+}
+
+func appendEntry(u *framer.Usage, r *report, now time.Time) {
+	u.Hosts = append(u.Hosts, r.id)
+	u.Starts = append(u.Starts, r.start)
+	u.Rates = append(u.Rates, float32(r.rate))
+	u.Demands = append(u.Demands, float32(r.demand))
+	u.Counts = append(u.Counts, uint32(r.count))
+	u.Ages = append(u.Ages, uint32(max(now.Sub(r.sampled), 0).Milliseconds()))
+}
+
+// Merge applies the reports that another host sent. It must be called for each message, also
+// for those without reports: it shows that this host is not cut off. Reports with values out
+// of range are ignored.
+func (l *Limiter) Merge(usage []*framer.Usage, now time.Time) {
+	l.contact.Store(int64(now.Sub(l.epoch)))
+	l.learning.Store(false)
+	accounts := *l.accounts.Load()
+	for _, u := range usage {
+		if a := accounts[u.GetAccount()]; a != nil && valid(u) {
+			a.merge(u, l, now)
+		}
+	}
+}
+
+func valid(u *framer.Usage) bool {
+	n := len(u.Hosts)
+	if n > 4096 || len(u.Starts) != n || len(u.Rates) != n || len(u.Demands) != n || len(u.Counts) != n || len(u.Ages) != n {
+		return false
+	}
+	for i := range n {
+		if !isRate(u.Rates[i]) || !isRate(u.Demands[i]) || u.Ages[i] > maxMessageAge {
+			return false
+		}
+	}
+	return true
+}
+
+func isRate(v float32) bool { return v >= 0 && v <= maxRate && !math.IsNaN(float64(v)) }
+
+func (a *account) merge(u *framer.Usage, l *Limiter, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	if u.NearMilliseconds > 0 {
+		a.markNear(now.Add(-time.Duration(u.NearMilliseconds-1)*time.Millisecond), now)
+	}
+	for i, id := range u.Hosts {
+		if id == l.id {
+			continue
+		}
+		a.mergeReport(report{
+			id: id, start: u.Starts[i], rate: float64(u.Rates[i]), demand: float64(u.Demands[i]), count: float64(u.Counts[i]),
+			sampled: now.Add(-time.Duration(u.Ages[i]) * time.Millisecond), sends: relaySends,
+		})
+	}
+	a.refreshAt = now
+}
+
+// mergeReport stores a report that is newer than the known one of its host. The caller holds mu.
+func (a *account) mergeReport(r report) {
+	i := slices.IndexFunc(a.reports, func(old report) bool { return old.id == r.id })
+	switch {
+	case i < 0 && len(a.reports) >= maxReports:
+		return
+	case i < 0:
+		a.reports = append(a.reports, r)
+	default:
+		old := &a.reports[i]
+		if r.start < old.start || (r.start == old.start && r.sampled.Sub(old.sampled) < minReportInterval) {
+			return
+		}
+		r.part = old.part
+		*old = r
+	}
+	a.pending += r.sends
+}
+
+// maxReports bounds the hosts that are kept for an account.
+const maxReports = 1024
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -86,6 +86,8 @@
 type Quotas interface {
 	// Allow reports whether a request of the account is within its quota, and counts it if so.
 	Allow(account string, now time.Time) bool
+	// UntilAllowed returns the time until this host is expected to allow a request of the account.
+	UntilAllowed(account string, now time.Time) time.Duration
 }
 
 // Watchdog detects pauses of the process.
@@ -257,12 +259,22 @@
 		return errUnconfirmedKey
 	case x.account == nil:
 		return errUnknownKey
-	case x.s.options.Quotas != nil && x.account.Quota.Limited() && !x.s.options.Quotas.Allow(x.account.Name, time.Now()):
-		return errOverQuota
+	case x.s.options.Quotas != nil && x.account.Quota.Limited():
+		return x.checkQuota(time.Now())
 	}
 	return nil
 }
 
+// checkQuota counts the request in the quota of its account, or refuses it.
+func (x *exchange) checkQuota(now time.Time) error {
+	q := x.s.options.Quotas
+	if q.Allow(x.account.Name, now) {
+		return nil
+	}
+	x.noUpstream.UntilCapacity = q.UntilAllowed(x.account.Name, now)
+	return errOverQuota
+}
+
 // accountName returns the name of the client account of the request, or "" without one.
 func (x *exchange) accountName() string {
 	if x.account == nil {
