Bound quotas within the window and pass reports on once

Cause: reports were passed on without end, because their age does not include the time on the way; and bursts exceeded the limit of the window while messages were under way.

Reports carry a number of their process. The limit of the average includes the burst only as far as the requests of the window leave room for it, and new hosts assume that the window is used up.

--- a/internal/quota/limiter/account.go
+++ b/internal/quota/limiter/account.go
@@ -16,13 +16,21 @@
 	maxAverage = 2 * time.Second
 	// demandAverage is the time constant of the average of the demand.
 	demandAverage = time.Second
-	// targetExcess and targetSlack are the fractions of Settings.Excess and Settings.Slack that
-	// the hosts use in a steady state; the rest is for the time that messages take. maxExcess
-	// and maxSlack are those up to which requests are admitted within the window.
-	targetExcess, targetSlack = 0.3, 0.5
-	maxExcess, maxSlack       = 0.6, 0.7
+	// burstFraction and burstSlack are the fractions of (PerSecond x Window + Burst) x (1 + Excess)
+	// and of Slack up to which bursts are admitted, and maxFraction and maxSlack those up to which
+	// any request is. The rest is for the time that messages take.
+	burstFraction, burstSlack = 0.82, 0.4
+	maxFraction, maxSlack     = 0.88, 0.5
+	// minWindowPart is the fraction of its part of the limit of the window that a host may always
+	// use, whatever the others report.
+	minWindowPart = 0.5
+	// newWindowPart is the same for a host that has just started.
+	newWindowPart = 0.3
 	// limitedTime is how long an account is reported as limited after a refusal.
 	limitedTime = 5 * time.Second
+	// assumedCarriers is the number of hosts with many callers that is assumed while no demand is
+	// known.
+	assumedCarriers = 24
 	// baselineAverage is the time constant of the average with which the demand is compared.
 	baselineAverage = 6 * time.Second
 	// slots is the number of parts of the window in which requests are counted.
@@ -31,9 +39,13 @@
 	refreshInterval = 25 * time.Millisecond
 	// quietRefreshInterval is the same for an account that is not near its quota.
 	quietRefreshInterval = 100 * time.Millisecond
+	// remainingFactor delays the time from which unknown requests leave the window.
+	remainingFactor = 1.6
 	// forgottenFraction is the fraction of the limit of the window that is assumed to be used
 	// when all hosts have just started.
-	forgottenFraction = 0.7
+	forgottenFraction = 0.9
+	// reportDelay is the usual age of reports about an account near its quota.
+	reportDelay = 400 * time.Millisecond
 	// grace is the time that the other hosts have to report after an account came near its
 	// quota. A host that hasn't reported by then may be cut off.
 	grace = 600 * time.Millisecond
@@ -63,19 +75,24 @@
 	// to one request and to its part of the slack.
 	allowanceFraction = 0.3
 	// overPart is the factor by which a host may exceed its part while the others use less.
-	overPart = 1.5
+	// overGap is the same for a host whose part is not known to the others yet, as a factor of
+	// an equal part of what they leave.
+	overPart, overGap = 1.1, 1.5
 )
 
 // report is what is known about the use of an account by another host.
 type report struct {
 	id      uint32  // of the host
 	start   uint64  // of its process, in Unix milliseconds
+	number  uint32  // of the report of that process
 	rate    float64 // admitted requests per second
 	demand  float64 // received requests per second
 	count   float64 // admitted within the window
 	sampled time.Time
 	part    float64 // of the quota, computed while the report was up to date
-	sends   int     // remaining messages that pass the report on
+	lost    float64 // count of an earlier process of the host at lostAt
+	lostAt  time.Time
+	sends   int // remaining messages that pass the report on
 }
 
 // account is the state of one account on one host.
@@ -87,8 +104,9 @@
 	quota   authenticator.Quota
 	window  time.Duration
 	average time.Duration
-	limit   float64 // of the average count of admitted requests
-	most    float64 // of admitted requests within the window
+	base    float64 // least limit of the average count of admitted requests
+	soft    float64 // limit within the window up to which bursts are admitted
+	most    float64 // limit within the window
 	slack   float64
 	changed time.Time // when the quota was last lowered
 
@@ -104,12 +122,19 @@
 	reports   []report
 	pending   int     // reports to pass on
 	published float64 // demand in the last report of this host
+	followed  float64 // weight with the delay that reports have on average
 	publishAt time.Time
-	ownSends  int // remaining messages that carry that report
+	number    uint32 // of the last report of this host
+	ownSends  int    // remaining messages that carry that report
 
 	nearUntil, nearSince time.Time
 	refreshAt, refusedAt time.Time
-	others, othersCount  float64 // estimates of the sums over other hosts
+	refreshedAt          time.Time
+	others, othersCount  float64 // estimates of the sums over other hosts, with reserved parts
+	heard, heardCount    float64 // the same without silent hosts
+	slackPart            float64 // part of the slack that this host may use at once
+	leastPart            float64 // fraction of its part of the window that this host may always use
+	limit                float64 // of the average count of admitted requests of all hosts now
 	part                 float64 // of this host
 	carriers             float64 // number of hosts among which the demand is spread
 	allowance            float64 // requests that this host may admit from its part
@@ -127,7 +152,7 @@
 }
 
 // setQuota computes the limits from the quota. An average that decays with the time constant T
-// and stays below limit admits at most limit x (1 + window/T) within the window.
+// and stays at a limit admits limit/T requests per second.
 func (a *account) setQuota(q authenticator.Quota, s Settings, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -142,10 +167,11 @@
 		a.admitted *= float64(average) / float64(a.average)
 	}
 	a.quota, a.window, a.average, a.slack = q, s.Window, average, s.Slack
-	nominal := q.PerSecond*s.Window.Seconds() + q.Burst
-	target := nominal*(1+targetExcess*s.Excess) + targetSlack*s.Slack
-	a.limit = max(target*average.Seconds()/(average+s.Window).Seconds(), q.PerSecond*average.Seconds(), 1)
-	a.most = nominal*(1+maxExcess*s.Excess) + maxSlack*s.Slack
+	allowed := (q.PerSecond*s.Window.Seconds() + q.Burst) * (1 + s.Excess)
+	a.base = max(q.PerSecond*average.Seconds()+burstSlack*s.Slack*average.Seconds()/(average+s.Window).Seconds(), 1)
+	a.soft = burstFraction*allowed + burstSlack*s.Slack
+	a.most = maxFraction*allowed + maxSlack*s.Slack
+	a.limit = a.base
 	a.refreshAt = now
 }
 
@@ -206,7 +232,7 @@
 // fits reports whether one more request is within the quota. The caller holds mu.
 func (a *account) fits(now time.Time) bool {
 	// After a lower quota was set, the window still holds requests of the old one.
-	if now.Sub(a.changed) > a.window && a.ringSum+1 > max(a.most-a.othersCount, a.part*a.most) {
+	if now.Sub(a.changed) > a.window && a.ringSum+1 > max(a.most-a.othersCount, a.leastPart*a.part*a.most) {
 		return false
 	}
 	if a.allowance >= 1 {
@@ -217,7 +243,7 @@
 		return false
 	}
 	// Other hosts find the same gap before they learn of the requests that fill it.
-	return !a.isNear(now) || a.admitted+1 <= overPart*a.part*a.limit+gap/a.carriers+1
+	return !a.isNear(now) || a.admitted+1 <= max(overPart*a.part*a.limit, overGap*gap/a.carriers)+a.slackPart+1
 }
 
 // isNear reports whether a host found the account near its quota a short time ago. The caller
@@ -241,13 +267,21 @@
 // refresh computes the parts and the sums over the other hosts. The caller holds mu.
 func (a *account) refresh(now time.Time, s solitude) {
 	a.solitude = s
+	a.followed += (a.weight() - a.followed) * (1 - decay(now.Sub(a.refreshedAt), reportDelay))
+	a.refreshedAt = now
 	a.updateParts(now)
-	a.others, a.othersCount = 0, a.forgotten(now)
+	a.others, a.othersCount, a.heard, a.heardCount = 0, a.forgotten(now), 0, 0
 	for i := range a.reports {
-		use, count := a.estimate(&a.reports[i], now)
+		r := &a.reports[i]
+		use, count := a.estimate(r, now)
 		a.others += use
 		a.othersCount += count
+		if !a.isSilent(r, now) {
+			a.heard += use
+			a.heardCount += count
+		}
 	}
+	a.updateLimit()
 	if a.seemsNear() {
 		a.markNear(now, now)
 	}
@@ -257,26 +291,41 @@
 	}
 }
 
-// forgotten returns how many requests the hosts may have admitted within the window before all
-// of them started. The caller holds mu.
+// updateLimit computes the limit of the average, which includes the burst as far as the requests
+// within the window leave room for it. The caller holds mu.
+func (a *account) updateLimit() {
+	room := a.soft - a.ringSum - a.othersCount
+	if a.solitude.isolated {
+		room = a.soft - a.ringSum/a.part
+	}
+	a.limit = a.base + min(max(room, 0), a.quota.Burst)
+}
+
+// forgotten returns how many requests earlier processes of this host, and of others that started
+// at about the same time, may have admitted within the window. The caller holds mu.
 func (a *account) forgotten(now time.Time) float64 {
 	age := now.Sub(a.epoch)
+	a.leastPart, a.slackPart = newWindowPart, 0
 	if age >= a.window {
+		a.leastPart, a.slackPart = minWindowPart, a.slack/a.carriers
 		return 0
 	}
+	young, total := a.part, a.part
 	for i := range a.reports {
-		if a.epoch.Sub(time.UnixMilli(int64(a.reports[i].start))) > a.window {
-			return 0 // a host that was there before reports its count
+		r := &a.reports[i]
+		total += r.part
+		if a.epoch.Sub(time.UnixMilli(int64(r.start))) < a.window {
+			young += r.part
 		}
 	}
-	return forgottenFraction * a.most * (1 - float64(age)/float64(a.window))
+	return forgottenFraction * a.soft * young / max(total, a.solitude.floor) * a.remaining(age)
 }
 
 // seemsNear reports whether the account is near its quota, or the demand at this host rises so
 // fast that it may be. The caller holds mu.
 func (a *account) seemsNear() bool {
 	distance := nearDistance * a.quota.PerSecond / (a.quota.PerSecond + distanceRate)
-	if a.admitted+a.others >= (1-distance)*a.limit || a.ringSum+a.othersCount >= (1-distance)*a.most {
+	if a.admitted+a.heard >= (1-distance)*a.base || a.ringSum+a.heardCount >= (1-distance)*a.soft {
 		return true
 	}
 	rise := riseFactor*a.baseline + riseDeviations*math.Sqrt(a.baseline) + minRise
@@ -305,7 +354,10 @@
 			a.part = a.solitude.floor
 		}
 		return
-	case near && now.Sub(a.nearSince) <= grace:
+	case a.solitude.learning && len(a.reports) == 0:
+		a.divide(0, 0, 1, now)
+		return
+	case a.solitude.learning, near && now.Sub(a.nearSince) <= grace:
 		return // the reports are from before the demand rose
 	}
 	a.reports = slices.DeleteFunc(a.reports, func(r report) bool {
@@ -314,7 +366,7 @@
 	})
 	own := a.published // of the same time as the reports
 	if near {
-		own = a.weight()
+		own = a.followed
 	}
 	reserved, total := 0.0, own
 	for i := range a.reports {
@@ -341,7 +393,10 @@
 		}
 		squares += r.part * r.part
 	}
-	a.carriers = max(1/max(squares, 1e-6), 1)
+	a.carriers = max(1/squares, 1)
+	if total <= 0 {
+		a.carriers = min(1/a.solitude.equal, assumedCarriers)
+	}
 }
 
 // estimate returns the average count and the count within the window of another host now. The
@@ -349,16 +404,24 @@
 func (a *account) estimate(r *report, now time.Time) (use, count float64) {
 	age := now.Sub(r.sampled)
 	average := a.average.Seconds()
+	lost := r.lost * a.remaining(now.Sub(r.lostAt))
 	if a.isSilent(r, now) {
-		remaining := max(0, 1-float64(age)/float64(a.window))
-		return max(r.rate*average*remaining, r.part*a.limit), max(r.count*remaining, r.part*a.most)
+		remaining := a.remaining(age)
+		return max(r.rate*average*remaining, r.part*a.base), max(r.count*remaining, r.part*a.most) + lost
 	}
 	use = r.rate * average
 	if !a.isNear(now) {
-		return use, r.count
+		return use, r.count + lost
 	}
 	next := min(r.demand*average, max(use, r.part*a.limit))
-	return use + (next-use)*float64(age)/float64(age+a.average), r.count
+	use += (next - use) * float64(age) / float64(age+a.average)
+	return use, r.count + max(use/average-r.count/a.window.Seconds(), 0)*age.Seconds() + lost
+}
+
+// remaining returns the fraction of the requests within a window that may still be within it after
+// a time without further ones. Most of them may have been at its end.
+func (a *account) remaining(elapsed time.Duration) float64 {
+	return min(max(0, remainingFactor*(1-float64(elapsed)/float64(a.window))), 1)
 }
 
 // untilAllowed returns the time until the part of this host allows a request.
@@ -377,5 +440,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance(now)
-	return Use{Account: a.name, Own: a.admitted / a.limit, Fleet: (a.admitted + a.others) / a.limit, Part: a.part, Limited: !a.refusedAt.IsZero() && now.Sub(a.refusedAt) < limitedTime}
+	return Use{Account: a.name, Own: a.admitted / a.base, Fleet: (a.admitted + a.others) / a.base, Part: a.part, Count: a.ringSum + a.othersCount, Limited: !a.refusedAt.IsZero() && now.Sub(a.refusedAt) < limitedTime}
 }
--- a/internal/quota/limiter/gossip.go
+++ b/internal/quota/limiter/gossip.go
@@ -34,10 +34,8 @@
 	maxNearAccounts, maxNearEntries = 8, 48
 	// ownSends and relaySends are the numbers of messages that carry a report.
 	ownSends, relaySends = 4, 3
-	// minReportInterval is the time by which a report must be newer to replace another one.
-	minReportInterval = 50 * time.Millisecond
-	maxRate           = 1e9
-	maxMessageAge     = uint32(maxBackgroundAge / time.Millisecond)
+	maxRate              = 1e9
+	maxMessageAge        = uint32(maxBackgroundAge / time.Millisecond)
 )
 
 // outbox is the state of the messages of a Limiter.
@@ -116,7 +114,8 @@
 	u := &framer.Usage{Account: a.name, NearMilliseconds: uint32(now.Sub(a.nearUntil.Add(-nearTime)).Milliseconds()) + 1}
 	if a.weight() > minReportedDemand || a.ringSum > 0 {
 		a.published = a.weight()
-		appendEntry(u, &report{id: l.id, start: l.start, rate: a.admitted / a.average.Seconds(), demand: a.published, count: a.ringSum, sampled: now}, now)
+		a.number++
+		a.appendOwn(u, l, a.admitted/a.average.Seconds(), a.ringSum)
 		*entries--
 	}
 	*entries -= a.passOn(u, *entries, now)
@@ -178,6 +177,7 @@
 	a.advance(now)
 	if least := max(minBackgroundFraction*a.quota.PerSecond, minBackgroundDemand); !now.Before(a.publishAt) && max(a.baseline, a.published) >= least {
 		a.published, a.publishAt, a.ownSends = a.baseline, now.Add(backgroundInterval), ownSends
+		a.number++
 	}
 	if a.ownSends == 0 && a.pending == 0 {
 		return nil
@@ -186,18 +186,24 @@
 	if a.ownSends > 0 {
 		a.ownSends--
 		entries--
-		appendEntry(u, &report{id: l.id, start: l.start, rate: a.baseline, demand: a.published, count: a.baseline * a.window.Seconds(), sampled: now}, now)
+		a.appendOwn(u, l, a.baseline, a.baseline*a.window.Seconds())
 	}
 	a.passOn(u, entries, now)
 	return u
 }
 
+// appendOwn adds the report of this host with its published demand. The caller holds mu.
+func (a *account) appendOwn(u *framer.Usage, l *Limiter, rate, count float64) {
+	appendEntry(u, &report{id: l.id, start: l.start, number: a.number, rate: rate, demand: a.published, count: count, sampled: a.last}, a.last)
+}
+
 func appendEntry(u *framer.Usage, r *report, now time.Time) {
 	u.Hosts = append(u.Hosts, r.id)
 	u.Starts = append(u.Starts, r.start)
 	u.Rates = append(u.Rates, float32(r.rate))
 	u.Demands = append(u.Demands, float32(r.demand))
 	u.Counts = append(u.Counts, uint32(r.count))
+	u.Numbers = append(u.Numbers, r.number)
 	u.Ages = append(u.Ages, uint32(max(now.Sub(r.sampled), 0).Milliseconds()))
 }
 
@@ -206,7 +212,10 @@
 // of range are ignored.
 func (l *Limiter) Merge(usage []*framer.Usage, now time.Time) {
 	l.contact.Store(int64(now.Sub(l.epoch)))
-	l.learning.Store(false)
+	if l.learning.Load() {
+		l.learned.Store(int64(now.Sub(l.epoch)))
+		l.learning.Store(false)
+	}
 	accounts := *l.accounts.Load()
 	for _, u := range usage {
 		if a := accounts[u.GetAccount()]; a != nil && valid(u) {
@@ -217,7 +226,7 @@
 
 func valid(u *framer.Usage) bool {
 	n := len(u.Hosts)
-	if n > 4096 || len(u.Starts) != n || len(u.Rates) != n || len(u.Demands) != n || len(u.Counts) != n || len(u.Ages) != n {
+	if n > 4096 || len(u.Starts) != n || len(u.Rates) != n || len(u.Demands) != n || len(u.Counts) != n || len(u.Ages) != n || len(u.Numbers) != n {
 		return false
 	}
 	for i := range n {
@@ -242,7 +251,7 @@
 			continue
 		}
 		a.mergeReport(report{
-			id: id, start: u.Starts[i], rate: float64(u.Rates[i]), demand: float64(u.Demands[i]), count: float64(u.Counts[i]),
+			id: id, start: u.Starts[i], number: u.Numbers[i], rate: float64(u.Rates[i]), demand: float64(u.Demands[i]), count: float64(u.Counts[i]),
 			sampled: now.Add(-time.Duration(u.Ages[i]) * time.Millisecond), sends: relaySends,
 		})
 	}
@@ -259,10 +268,13 @@
 		a.reports = append(a.reports, r)
 	default:
 		old := &a.reports[i]
-		if r.start < old.start || (r.start == old.start && r.sampled.Sub(old.sampled) < minReportInterval) {
+		if r.start < old.start || (r.start == old.start && r.number <= old.number) {
 			return
 		}
-		r.part = old.part
+		r.part, r.lost, r.lostAt = old.part, old.lost, old.lostAt
+		if r.start > old.start {
+			r.lost, r.lostAt = old.count, old.sampled
+		}
 		*old = r
 	}
 	a.pending += r.sends
--- a/internal/quota/limiter/limiter.go
+++ b/internal/quota/limiter/limiter.go
@@ -46,6 +46,9 @@
 	// maxContactAge is the time without a message from another host after which this host counts
 	// as isolated. About ten messages arrive per second.
 	maxContactAge = 1200 * time.Millisecond
+	// learningTime is the time from the first message of another host until a host knows what
+	// the others know about accounts near their quota.
+	learningTime = time.Second
 	// newHostFraction is the fraction of an equal part that a host uses that knows no part of
 	// its own.
 	newHostFraction = 0.5
@@ -63,6 +66,7 @@
 	ordered  atomic.Pointer[[]*account]
 	contact  atomic.Int64 // time of the last message of another host, in nanoseconds since epoch
 	learning atomic.Bool  // no message has arrived since the start or the last pause
+	learned  atomic.Int64 // time of the first message since then, in nanoseconds since epoch
 	live     atomic.Int64
 	known    atomic.Int64
 
@@ -154,6 +158,7 @@
 // solitude describes how far a host is cut off from the others.
 type solitude struct {
 	isolated bool    // no other host was heard of recently
+	learning bool    // this host may not know yet what the others know
 	floor    float64 // part of a quota that this host may use without a part of its own
 	equal    float64 // part of each host in a division by number
 }
@@ -163,8 +168,11 @@
 	if known <= 1 {
 		return solitude{floor: 1, equal: 1}
 	}
-	age := now.Sub(l.epoch) - time.Duration(l.contact.Load())
-	return solitude{isolated: l.learning.Load() || age > maxContactAge, floor: newHostFraction / known, equal: 1 / known}
+	at := now.Sub(l.epoch)
+	return solitude{
+		isolated: l.learning.Load() || at-time.Duration(l.contact.Load()) > maxContactAge,
+		learning: at-time.Duration(l.learned.Load()) < learningTime, floor: newHostFraction / known, equal: 1 / known,
+	}
 }
 
 // Use is the use of the quota of one account.
@@ -173,7 +181,8 @@
 	Own     float64 // fraction of the quota that this host uses
 	Fleet   float64 // fraction that all known hosts use
 	Part    float64 // fraction that this host may use while the quota is used up
-	Limited bool    // a request was refused a short time ago
+	Count   float64
+	Limited bool // a request was refused a short time ago
 }
 
 // Report returns the accounts of which this host uses the largest fractions, at most limit.
