Refuse unknown keys with 503 before the copy of the configuration is 2 s old

Cause: a host that lost contact up to 3 s ago answered 401 to a key that it lacks. The platform has a configuration in force within 2 s, so a caller may use a new key from then on. Change: the age is 1.7 s, as for the copy of a host that then reads the store itself.

--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -12,8 +12,10 @@
 	// next change returns at once and does not limit the rate of calls itself.
 	minUpstreamReadInterval = 700 * time.Millisecond
 	// maxConfigurationAge is the age from which a copy of the configuration may lack new keys.
-	// Syncs confirm a copy several times a second while the store responds.
-	maxConfigurationAge = 3 * time.Second
+	// It is below the bound of the platform for a configuration to be in force (2 s): a key that
+	// is older than the bound must not get 401. A feed without changes confirms the copy once
+	// per second and a sync between hosts takes up to 0.6 s.
+	maxConfigurationAge = 1700 * time.Millisecond
 	tickInterval        = 250 * time.Millisecond
 	// maxViewAge bounds how long a member that was removed from the membership stays in
 	// the view. Until then it only makes the shares of the other hosts in limits that hold
