--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -364,7 +364,7 @@
 			Uint64("version", x.table.Version()).Uint64("object", x.object)
 		o.Meter.ObserveLatency(meter.Series{Service: x.service, Class: x.route.Class.String()}, took)
 		if x.account != nil {
-			entry.Str("account", x.account.Name)
+			entry.Str("account", x.account.Name).Int("urgency", x.urgency())
 		}
 	}
 	if err != nil {
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -215,26 +215,13 @@
 	var err error
 	g.table, err = matcher.New(1, routes, []matcher.Service{{Name: "s"}}, matcher.Limits{})
 	assert.NilError(t, err)
-	s := sender.New(sender.Options{Match: matchID})
-	t.Cleanup(s.Close)
-	g.steer = steerer.New(steerer.Options{
+	g.serve(steerer.Options{
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: oneRegionPlanner{},
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
 		Upstreams: reg, Ranker: ranker.New("r"),
-		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }, time.Now().Add(-time.Minute)), Sender: s, Memory: g.memory, Watchdog: g.watchdog, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
+		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }, time.Now().Add(-time.Minute)), Memory: g.memory, Watchdog: g.watchdog, Guard: recoverer.New(logger.Logger{}, meter.New()).Do,
 		Log: logger.New(g.log, zerolog.InfoLevel, "h"),
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	a := acceptor.New(acceptor.Options{Handler: g.steer, Concurrent: g.steer.Repeatable})
-	go func() { _ = a.Serve(l) }()
-	g.dial = func() net.Conn {
-		c, err := net.Dial("tcp", l.Addr().String())
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = c.Close() })
-		return c
-	}
 	// A request shows which upstream the object goes to.
 	g.first, g.second = ups[0], ups[1]
 	_, _, err = g.send("GET", "/look/probe")
@@ -251,6 +238,24 @@
 	return g
 }
 
+// serve makes the host serve callers with the options and a new sender.
+func (g *testHost) serve(o steerer.Options) {
+	o.Sender = sender.New(sender.Options{Match: matchID})
+	g.t.Cleanup(o.Sender.Close)
+	g.steer = steerer.New(o)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(g.t, err)
+	g.t.Cleanup(func() { _ = l.Close() })
+	a := acceptor.New(acceptor.Options{Handler: g.steer, Concurrent: g.steer.Repeatable})
+	go func() { _ = a.Serve(l) }()
+	g.dial = func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(g.t, err)
+		g.t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+}
+
 // removeFirst deregisters the upstream that the object goes to.
 func (g *testHost) removeFirst() { g.remove(g.first.id) }
 
