Choose an upstream without logarithms and allocations

Cause: a choice computed the score -w/ln(u) of every upstream of all regions, and each candidate took its lock up to seven times. Candidates with equal slots are in the order of their hashes, so the new package hasher ranks them by hash and computes scores only to merge candidates with different slots, or where hashes are so near that rounding may decide. Rankings of objects are cached by region (56 KiB for each region with 64 or more upstreams, so at most 896 bytes an upstream; dropped with the group). Another region is not looked at if its RTT alone makes it dearer than the planned one. State reads an upstream under one lock.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/hasher"
 	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 )
 
@@ -40,7 +41,13 @@
 // Group is an immutable view of the upstreams of one service that may get new requests.
 type Group struct {
 	upstreams []*Upstream
-	byRegion  map[string][]*Upstream
+	byRegion  map[string]*regionGroup
+}
+
+// regionGroup holds the upstreams of a group in one region.
+type regionGroup struct {
+	upstreams []*Upstream
+	index     *hasher.Index // weighted by their slots
 }
 
 // Upstreams returns the upstreams, sorted by ID. The slice must not be modified.
@@ -53,10 +60,19 @@
 
 // InRegion returns the upstreams in a region, sorted by ID. The slice must not be modified.
 func (g *Group) InRegion(region string) []*Upstream {
-	if g == nil {
+	if g == nil || g.byRegion[region] == nil {
 		return nil
 	}
-	return g.byRegion[region]
+	return g.byRegion[region].upstreams
+}
+
+// Index ranks the upstreams in a region by rendezvous hashing. Its positions are those in
+// InRegion. It is nil if there are none.
+func (g *Group) Index(region string) *hasher.Index {
+	if g == nil || g.byRegion[region] == nil {
+		return nil
+	}
+	return g.byRegion[region].index
 }
 
 // UsableSlots returns the sum of the slots of the upstreams of a region that requests can
@@ -315,7 +331,7 @@
 		}
 		g := groups[u.service]
 		if g == nil {
-			g = &Group{byRegion: make(map[string][]*Upstream)}
+			g = &Group{byRegion: make(map[string]*regionGroup)}
 			groups[u.service] = g
 		}
 		if !u.draining && !u.leaving && !r.evacuated[u.zone] {
@@ -337,6 +353,18 @@
 func (g *Group) index() {
 	slices.SortFunc(g.upstreams, func(a, b *Upstream) int { return strings.Compare(a.id, b.id) })
 	for _, u := range g.upstreams {
-		g.byRegion[u.region] = append(g.byRegion[u.region], u)
+		rg := g.byRegion[u.region]
+		if rg == nil {
+			rg = new(regionGroup)
+			g.byRegion[u.region] = rg
+		}
+		rg.upstreams = append(rg.upstreams, u)
+	}
+	for _, rg := range g.byRegion {
+		hashes, slots := make([]uint64, len(rg.upstreams)), make([]float64, len(rg.upstreams))
+		for i, u := range rg.upstreams {
+			hashes[i], slots[i] = u.hash, float64(u.slots)
+		}
+		rg.index = hasher.New(hashes, slots)
 	}
 }
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -211,13 +211,6 @@
 	return now.Before(u.coldUntil) || (!u.suspectSince.IsZero() && now.Sub(u.suspectSince) < maxSuspectTime)
 }
 
-// CanAdmitCold reports whether AdmitCold with a positive rate would succeed at now.
-func (u *Upstream) CanAdmitCold(now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return !now.Before(u.nextColdRequest)
-}
-
 // AdmitCold reports whether this host may send a request to the cold upstream at now, and
 // counts the request if so. rate is in requests per second. Requests are evenly spaced,
 // so over any span all hosts together send at most the sum of their rates and one request
@@ -255,7 +248,15 @@
 func (u *Upstream) EstimatedLoad(now time.Time) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return float64(u.inFlight.Load()) + u.peerLoad*decay(now.Sub(u.loadReported), reportedLoadHalfLife)
+	return u.estimatedLoad(now)
+}
+
+func (u *Upstream) estimatedLoad(now time.Time) float64 {
+	load := float64(u.inFlight.Load())
+	if u.peerLoad > 0 {
+		load += u.peerLoad * decay(now.Sub(u.loadReported), reportedLoadHalfLife)
+	}
+	return load
 }
 
 // RecordShed records that the upstream shed a request. If it has free slots, it sheds for
@@ -269,14 +270,6 @@
 	u.updateFailureRate(1, now)
 }
 
-// RecentlyShed reports whether the upstream shed a request because of overload within
-// recentShedWindow, and has not reported its load since.
-func (u *Upstream) RecentlyShed(now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return now.Before(u.shedUntil)
-}
-
 // RecordUnreachable records that a connection could not be opened. The upstream becomes
 // suspect.
 func (u *Upstream) RecordUnreachable(now time.Time) {
@@ -352,6 +345,13 @@
 func (u *Upstream) Quality(now time.Time) (slowdown, failureRate float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.quality(now)
+}
+
+func (u *Upstream) quality(now time.Time) (slowdown, failureRate float64) {
+	if u.slowdown == 1 && u.failureRate == 0 {
+		return 1, 0
+	}
 	d := decay(now.Sub(u.lastResult), resultHalfLife)
 	return 1 + (u.slowdown-1)*d, u.failureRate * d
 }
@@ -378,6 +378,10 @@
 func (u *Upstream) WarmFor(object uint64, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.isWarmFor(object, now)
+}
+
+func (u *Upstream) isWarmFor(object uint64, now time.Time) bool {
 	t, ok := u.warmObjects[object]
 	return ok && now.Sub(t) < warmObjectTTL
 }
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -12,10 +12,10 @@
 
 import (
 	"math"
-	"math/bits"
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/hasher"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/request/estimator"
 )
@@ -191,6 +191,7 @@
 // candidate is an upstream under comparison.
 type candidate struct {
 	Choice
+	state      registrar.State
 	cost       time.Duration
 	minLatency time.Duration // smallest plausible time from dispatch to the response
 	rateWait   time.Duration // until the rate limit of the upstream allows a request
@@ -229,8 +230,18 @@
 func (r *Ranker) find(now time.Time, q *Query, times *serviceTimes) Choice {
 	plannedIndex := q.plannedRegion()
 	s := search{planned: candidate{cost: math.MaxInt64}, other: candidate{cost: math.MaxInt64}, untilCapacity: math.MaxInt64, earliestResponse: math.MaxInt64}
+	if plannedIndex >= 0 {
+		r.considerRegion(now, q, &s, q.Regions[plannedIndex], true, times)
+	}
 	for i, region := range q.Regions {
-		r.considerRegion(now, q, &s, region, i == plannedIndex, times)
+		if i == plannedIndex {
+			continue
+		}
+		// The RTT is part of the cost of all upstreams of the region.
+		if s.planned.Upstream != nil && s.planned.cost <= r.rtt(region)+minCrossRegionGain {
+			continue
+		}
+		r.considerRegion(now, q, &s, region, false, times)
 	}
 	best := s.planned
 	if s.other.Upstream != nil && s.other.cost+minCrossRegionGain < s.planned.cost && q.allowCrossRegion(s.failing || len(q.Tried) > 0 || plannedIndex < 0) {
@@ -251,19 +262,31 @@
 	if planned {
 		n = plannedRegionCandidates
 	}
+	index := q.Group.Index(region)
+	if index == nil {
+		return
+	}
+	var top hasher.Ranking
+	if q.Object != 0 {
+		top = index.TopCached(q.Object, n)
+	} else {
+		top = index.Top(q.RandomKey, n)
+	}
+	upstreams, rtt := q.Group.InRegion(region), r.rtt(region)
 	leading := true
-	for rank, u := range q.topUpstreams(region, n) {
-		if u == nil {
+	for rank, position := range top[:n] {
+		if position < 0 {
 			return
 		}
+		u := upstreams[position]
 		limited := u.RateLimited(now)
 		if !q.tried(u) {
-			c := r.evaluate(now, u, q.Object, leading, times)
+			c := evaluate(now, u, q.Object, leading, times, rtt)
 			c.Rank, c.Planned = rank, planned
 			if limited {
 				c.rateWait = u.RateLimitWait(now, q.rateShare(u))
 			}
-			s.consider(now, q, &c)
+			s.consider(q, &c)
 		}
 		leading = leading && limited
 	}
@@ -279,7 +302,7 @@
 }
 
 // consider compares a candidate with the best so far.
-func (s *search) consider(now time.Time, q *Query, c *candidate) {
+func (s *search) consider(q *Query, c *candidate) {
 	best := &s.other
 	if c.Planned {
 		best = &s.planned
@@ -294,9 +317,9 @@
 		s.excluded.QueueTooLong++
 	case c.QueueWait+c.minLatency > q.Remaining:
 		s.excluded.PastDeadline++
-	case !c.allowsObject(now, q.Object):
+	case !c.allowsObject(q.Object):
 		s.excluded.NoWarmUpCapacity++
-	case !coldLimitAllows(now, q, c.Upstream):
+	case !c.coldLimitAllows(q):
 		s.excluded.ColdLimited++
 	case c.rateWait > 0:
 		s.excluded.RateLimited++
@@ -307,31 +330,34 @@
 
 // coldLimitAllows reports whether the upstream is not cold, or this host may send it a
 // request now.
-func coldLimitAllows(now time.Time, q *Query, u *registrar.Upstream) bool {
-	return !u.Cold(now) || (q.ColdRate(u) > 0 && u.CanAdmitCold(now))
+func (c *candidate) coldLimitAllows(q *Query) bool {
+	return !c.state.Cold || (q.ColdRate(c.Upstream) > 0 && c.state.CanAdmitCold)
 }
 
 // allowsObject reports whether the upstream may get the object: the object is in its
 // cache, or it is the one that warms it up for all hosts, or it has capacity to do so.
-func (c *candidate) allowsObject(now time.Time, object uint64) bool {
+func (c *candidate) allowsObject(object uint64) bool {
 	if object == 0 || c.Warm || (c.Planned && c.leading) {
 		return true
 	}
-	return c.hasWarmUpCapacity(now)
+	return c.hasWarmUpCapacity()
 }
 
 // hasWarmUpCapacity reports whether the upstream can warm up an object without
 // exceeding maxBusyForWarmUp.
-func (c *candidate) hasWarmUpCapacity(now time.Time) bool {
-	return c.Load+1 <= maxBusyForWarmUp*float64(c.Upstream.Slots()) && !c.Upstream.RecentlyShed(now)
+func (c *candidate) hasWarmUpCapacity() bool {
+	return c.Load+1 <= maxBusyForWarmUp*float64(c.Upstream.Slots()) && !c.state.RecentlyShed
 }
 
 // evaluate estimates when the upstream would respond.
-func (r *Ranker) evaluate(now time.Time, u *registrar.Upstream, object uint64, leading bool, times *serviceTimes) candidate {
-	cached := object != 0 && u.WarmFor(object, now)
-	c := candidate{Choice: Choice{Upstream: u, Warm: cached, Load: u.EstimatedLoad(now), UnloadedLatency: times.Cold}, leading: leading}
-	slowdown, failureRatio := u.Quality(now)
-	if cached {
+func evaluate(now time.Time, u *registrar.Upstream, object uint64, leading bool, times *serviceTimes, rtt time.Duration) candidate {
+	state := u.State(object, now)
+	c := candidate{
+		Choice: Choice{Upstream: u, Warm: state.Warm, Load: state.Load, UnloadedLatency: times.Cold},
+		state:  state, leading: leading,
+	}
+	slowdown := state.Slowdown
+	if c.Warm {
 		c.UnloadedLatency = times.Warm
 	}
 	if excess := c.Load + 1 - float64(u.Slots()); excess > 0 {
@@ -348,17 +374,16 @@
 	if !times.Recent {
 		minTime = 0 // the service times of other routes do not apply to this one
 	}
-	rtt := r.rtt(u.Region())
 	c.UnloadedLatency = time.Duration(float64(c.UnloadedLatency)*slowdown) + rtt
 	c.minLatency = time.Duration(float64(minTime)*slowdown) + rtt
 	c.cost = time.Duration(float64(rankingTime)*slowdown) + rtt + c.QueueWait
-	c.cost += time.Duration(failureRatio * failureCostFactor * float64(times.Cold))
-	c.doubtful = failureRatio > doubtfulFailureRatio || slowdown > doubtfulSlowdown || u.Cold(now)
-	if u.RecentlyShed(now) {
+	c.cost += time.Duration(state.FailureRate * failureCostFactor * float64(times.Cold))
+	c.doubtful = state.FailureRate > doubtfulFailureRatio || state.Slowdown > doubtfulSlowdown || state.Cold
+	if state.RecentlyShed {
 		c.cost += time.Duration(shedCostFactor * float64(times.Cold))
 	}
 	// A cold upstream is assumed to take one cold service time longer.
-	if u.Cold(now) {
+	if state.Cold {
 		c.UnloadedLatency += times.Cold
 		if times.Recent {
 			c.minLatency = c.UnloadedLatency
@@ -400,7 +425,7 @@
 		if q.Weights[i] <= 0 || len(q.Group.InRegion(region)) == 0 {
 			continue
 		}
-		if s := score(mixHashes(key, regionSeed+uint64(i)), q.Weights[i]); s > best {
+		if s := hasher.Score(hasher.Mix(key, regionSeed+uint64(i)), q.Weights[i]); s > best {
 			best, at = s, i
 		}
 	}
@@ -409,40 +434,3 @@
 
 // regionSeed makes the hashes of regions independent of those of upstreams.
 const regionSeed = 0x9e3779b97f4a7c15
-
-// topUpstreams returns the n highest-ranked upstreams of a region for the object,
-// followed by nil if there are fewer.
-func (q *Query) topUpstreams(region string, n int) []*registrar.Upstream {
-	key := q.Object
-	if key == 0 {
-		key = q.RandomKey
-	}
-	top := make([]*registrar.Upstream, n)
-	scores := make([]float64, n)
-	for _, u := range q.Group.InRegion(region) {
-		s := score(mixHashes(key, u.Hash()), float64(u.Slots()))
-		for i := range top {
-			if top[i] == nil || s > scores[i] {
-				copy(top[i+1:], top[i:])
-				copy(scores[i+1:], scores[i:])
-				top[i], scores[i] = u, s
-				break
-			}
-		}
-	}
-	return top
-}
-
-// score returns the score of a candidate in weighted rendezvous hashing. With h mapped
-// to a uniform value u in (0, 1), -weight/ln(u) makes each candidate win with a
-// probability proportional to its weight.
-func score(h uint64, weight float64) float64 {
-	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(u)
-}
-
-// mixHashes combines two hashes into one that depends on all bits of both.
-func mixHashes(a, b uint64) uint64 {
-	hi, lo := bits.Mul64(a^0x2d358dccaa6c78a5, b^0x8bb84b93962eacc9)
-	return hi ^ lo
-}
