Use the speed that upstreams report

Cause: the fourth figure of a load was read and not used, so a slow upstream was only noticed by its late responses.

The learned slowdown and the estimated service times are measured against the slowness, so the same slowness counts once. Usable slots of traffic plans follow the speed averaged over seconds.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -76,11 +76,12 @@
 }
 
 // UsableSlots returns the sum of the slots of the upstreams of a region that requests can
-// keep busy, each for serviceTime, within the rate limits of the upstreams.
+// keep busy, each for serviceTime, within the rate limits of the upstreams. Slots of an upstream
+// that reports its speed count as much as they do on average.
 func (g *Group) UsableSlots(region string, serviceTime time.Duration, now time.Time) float64 {
 	usable := 0.0
 	for _, u := range g.InRegion(region) {
-		slots := float64(u.slots)
+		slots := float64(u.slots) * u.MeanSpeed(now)
 		if u.RateLimited(now) {
 			slots = min(slots, max(float64(u.RateLimit(now)), minRateLimit)*serviceTime.Seconds())
 		}
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -73,7 +73,8 @@
 	shedUntil        time.Time
 	peerLoad         float64 // requests from other hosts, as last reported
 	loadReported     time.Time
-	slowdown         float64 // moving average of actual over expected response time
+	speed            speed
+	slowdown         float64 // moving average of actual over expected response time, beyond the reported speed
 	failureRate      float64 // moving average of the fraction of requests that failed
 	lastResult       time.Time
 	warmObjects      map[uint64]time.Time // time of the last successful response, by hash of the object
@@ -97,6 +98,7 @@
 	u.coldUntil, u.suspectSince, u.nextColdRequest = old.coldUntil, old.suspectSince, old.nextColdRequest
 	if u.startUnixMilli == old.startUnixMilli {
 		u.setRateLimit(old.limit)
+		u.speed = old.speed
 	}
 }
 
@@ -182,7 +184,7 @@
 // resetProcessState resets what belongs to an earlier process. The caller must hold mu.
 func (u *Upstream) resetProcessState() {
 	u.warmObjects, u.peerLoad, u.slowdown, u.failureRate = nil, 0, 1, 0
-	u.shedUntil, u.lastLoss = time.Time{}, time.Time{}
+	u.shedUntil, u.lastLoss, u.speed = time.Time{}, time.Time{}, speed{}
 	u.resetRateLimit(time.Time{})
 }
 
@@ -240,6 +242,9 @@
 	u.peerLoad = max(0, float64(l.Running+l.Waiting)-float64(own))
 	u.loadReported = now
 	u.shedUntil = time.Time{}
+	if slowness := l.Slowness(); slowness > 0 {
+		u.speed.report(slowness, now)
+	}
 }
 
 // EstimatedLoad returns the estimated number of requests of all hosts at the upstream:
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -89,6 +89,7 @@
 	// UnloadedLatency is the expected time from dispatch to the response without
 	// QueueWait: service time and RTT.
 	UnloadedLatency  time.Duration
+	Slowness         float64       // expected time of work as a multiple of the usual, by what the upstream reports
 	Warm             bool          // the object is probably in the upstream's cache
 	Rank             int           // in its region, from 0
 	Planned          bool          // the upstream is in the planned region
@@ -164,6 +165,28 @@
 	r.estimates.ObserveResponse(now, service, route, warm, max(0, took-r.rtt(region)))
 }
 
+// UsualTime returns the time from dispatch to the response that a request to a region would
+// have taken if work took the usual time. slowness is the time that it took as a multiple of
+// the usual.
+func (r *Ranker) UsualTime(region string, took time.Duration, slowness float64) time.Duration {
+	if slowness == 1 {
+		return took
+	}
+	rtt := r.rtt(region)
+	return time.Duration(float64(max(0, took-rtt))/slowness) + rtt
+}
+
+// ExpectedTime returns the time from dispatch to the response that the choice stands for if
+// the slowness of the upstream was another one than expected.
+func (r *Ranker) ExpectedTime(c *Choice, slowness float64) time.Duration {
+	expected := c.QueueWait + c.UnloadedLatency
+	if slowness == c.Slowness {
+		return expected
+	}
+	rtt := r.rtt(c.Upstream.Region())
+	return time.Duration(float64(max(0, expected-rtt))*slowness/c.Slowness) + rtt
+}
+
 // ObserveTimeout records that no response arrived within the time took.
 func (r *Ranker) ObserveTimeout(now time.Time, service, route, region string, took time.Duration) {
 	r.estimates.ObserveTimeout(now, service, route, max(0, took-r.rtt(region)))
@@ -353,10 +376,10 @@
 func evaluate(now time.Time, u *registrar.Upstream, object uint64, leading bool, times *serviceTimes, rtt time.Duration) candidate {
 	state := u.State(object, now)
 	c := candidate{
-		Choice: Choice{Upstream: u, Warm: state.Warm, Load: state.Load, UnloadedLatency: times.Cold},
+		Choice: Choice{Upstream: u, Warm: state.Warm, Load: state.Load, Slowness: state.Slowness, UnloadedLatency: times.Cold},
 		state:  state, leading: leading,
 	}
-	slowdown := state.Slowdown
+	slowdown := state.Slowdown * state.Slowness
 	if c.Warm {
 		c.UnloadedLatency = times.Warm
 	}
@@ -378,6 +401,8 @@
 	c.minLatency = time.Duration(float64(minTime)*slowdown) + rtt
 	c.cost = time.Duration(float64(rankingTime)*slowdown) + rtt + c.QueueWait
 	c.cost += time.Duration(state.FailureRate * failureCostFactor * float64(times.Cold))
+	// The reported slowness is left out: it changes many times a second, and the requests of a
+	// region may not move that fast.
 	c.doubtful = state.FailureRate > doubtfulFailureRatio || state.Slowdown > doubtfulSlowdown || state.Cold
 	if state.RecentlyShed {
 		c.cost += time.Duration(shedCostFactor * float64(times.Cold))
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -381,9 +381,10 @@
 	case kind == classifier.Shed:
 		a.upstream.RecordShed(now, a.metadata.HasLoad && a.metadata.Load.Running < a.metadata.Load.Slots)
 	case cause != nil || kind == classifier.TimedOut:
-		a.upstream.RecordOverdue(now, float64(a.elapsed)/float64(a.expectedTime()))
+		a.upstream.RecordOverdue(now, a.timeRatio())
 		if !now.Before(a.x.deadline) {
-			a.x.s.options.Ranker.ObserveTimeout(now, a.x.service, a.x.route.Name, a.upstream.Region(), a.elapsed)
+			region, r := a.upstream.Region(), a.x.s.options.Ranker
+			r.ObserveTimeout(now, a.x.service, a.x.route.Name, region, r.UsualTime(region, a.elapsed, a.slowness()))
 		}
 	case a.errorStatus != 0:
 		a.upstream.RecordFailure(now)
@@ -431,16 +432,28 @@
 // maxLoggedValueBytes bounds the part of an invalid field that is logged.
 const maxLoggedValueBytes = 64
 
-// expectedTime returns the expected time from dispatch to the response.
-func (a *attempt) expectedTime() time.Duration {
-	return max(a.choice.QueueWait+a.choice.UnloadedLatency, time.Millisecond)
+// slowness returns the time that the work took as a multiple of the usual, as far as the
+// upstream reports it: the mean of what was expected and what the response says.
+func (a *attempt) slowness() float64 {
+	if reported := a.metadata.Load.Slowness(); reported > 0 {
+		return (a.choice.Slowness + reported) / 2
+	}
+	return a.choice.Slowness
+}
+
+// timeRatio returns the ratio of the elapsed time to the one that was to be expected at the
+// speed of the upstream.
+func (a *attempt) timeRatio() float64 {
+	expected := a.x.s.options.Ranker.ExpectedTime(&a.choice, a.slowness())
+	return float64(a.elapsed) / float64(max(expected, time.Millisecond))
 }
 
 func (a *attempt) recordSuccess(now time.Time) {
-	a.upstream.RecordSuccess(now, float64(a.elapsed)/float64(a.expectedTime()))
+	a.upstream.RecordSuccess(now, a.timeRatio())
 	o := &a.x.s.options
 	if a.choice.QueueWait == 0 && a.metadata.Load.Waiting == 0 && !a.upstream.Cold(now) {
-		o.Ranker.ObserveResponse(now, a.x.service, a.x.route.Name, a.choice.Warm, a.upstream.Region(), a.elapsed)
+		region := a.upstream.Region()
+		o.Ranker.ObserveResponse(now, a.x.service, a.x.route.Name, a.choice.Warm, region, o.Ranker.UsualTime(region, a.elapsed, a.slowness()))
 	}
 	if a.x.object != 0 {
 		a.upstream.MarkWarm(a.x.object, now)
@@ -453,6 +466,9 @@
 		Dur("wait", a.choice.QueueWait).Dur("work", a.choice.UnloadedLatency).Float64("load", a.choice.Load).
 		Int("rank", a.choice.Rank).Bool("warm", a.choice.Warm).Bool("planned", a.choice.Planned).
 		Dur("begun", a.start.Sub(a.x.call.Arrived))
+	if a.choice.Slowness != 1 {
+		d.Float64("slowness", a.choice.Slowness)
+	}
 	if !a.done.Load() {
 		return d.Str("outcome", "under way")
 	}
