--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -73,7 +73,8 @@
 	shedUntil        time.Time
 	peerLoad         float64 // requests from other hosts, as last reported
 	loadReported     time.Time
-	slowdown         float64 // moving average of actual over expected response time
+	speed            speed
+	slowdown         float64 // moving average of actual over expected response time, beyond the reported speed
 	failureRate      float64 // moving average of the fraction of requests that failed
 	lastResult       time.Time
 	warmObjects      map[uint64]time.Time // time of the last successful response, by hash of the object
@@ -97,6 +98,7 @@
 	u.coldUntil, u.suspectSince, u.nextColdRequest = old.coldUntil, old.suspectSince, old.nextColdRequest
 	if u.startUnixMilli == old.startUnixMilli {
 		u.setRateLimit(old.limit)
+		u.speed = old.speed
 	}
 }
 
@@ -182,7 +184,7 @@
 // resetProcessState resets what belongs to an earlier process. The caller must hold mu.
 func (u *Upstream) resetProcessState() {
 	u.warmObjects, u.peerLoad, u.slowdown, u.failureRate = nil, 0, 1, 0
-	u.shedUntil, u.lastLoss = time.Time{}, time.Time{}
+	u.shedUntil, u.lastLoss, u.speed = time.Time{}, time.Time{}, speed{}
 	u.resetRateLimit(time.Time{})
 }
 
@@ -211,13 +213,6 @@
 	return now.Before(u.coldUntil) || (!u.suspectSince.IsZero() && now.Sub(u.suspectSince) < maxSuspectTime)
 }
 
-// CanAdmitCold reports whether AdmitCold with a positive rate would succeed at now.
-func (u *Upstream) CanAdmitCold(now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return !now.Before(u.nextColdRequest)
-}
-
 // AdmitCold reports whether this host may send a request to the cold upstream at now, and
 // counts the request if so. rate is in requests per second. Requests are evenly spaced,
 // so over any span all hosts together send at most the sum of their rates and one request
@@ -247,6 +242,9 @@
 	u.peerLoad = max(0, float64(l.Running+l.Waiting)-float64(own))
 	u.loadReported = now
 	u.shedUntil = time.Time{}
+	if slowness := l.Slowness(); slowness > 0 {
+		u.speed.report(slowness, now)
+	}
 }
 
 // EstimatedLoad returns the estimated number of requests of all hosts at the upstream:
@@ -255,7 +253,15 @@
 func (u *Upstream) EstimatedLoad(now time.Time) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return float64(u.inFlight.Load()) + u.peerLoad*decay(now.Sub(u.loadReported), reportedLoadHalfLife)
+	return u.estimatedLoad(now)
+}
+
+func (u *Upstream) estimatedLoad(now time.Time) float64 {
+	load := float64(u.inFlight.Load())
+	if u.peerLoad > 0 {
+		load += u.peerLoad * decay(now.Sub(u.loadReported), reportedLoadHalfLife)
+	}
+	return load
 }
 
 // RecordShed records that the upstream shed a request. If it has free slots, it sheds for
@@ -269,14 +275,6 @@
 	u.updateFailureRate(1, now)
 }
 
-// RecentlyShed reports whether the upstream shed a request because of overload within
-// recentShedWindow, and has not reported its load since.
-func (u *Upstream) RecentlyShed(now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return now.Before(u.shedUntil)
-}
-
 // RecordUnreachable records that a connection could not be opened. The upstream becomes
 // suspect.
 func (u *Upstream) RecordUnreachable(now time.Time) {
@@ -352,6 +350,13 @@
 func (u *Upstream) Quality(now time.Time) (slowdown, failureRate float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.quality(now)
+}
+
+func (u *Upstream) quality(now time.Time) (slowdown, failureRate float64) {
+	if u.slowdown == 1 && u.failureRate == 0 {
+		return 1, 0
+	}
 	d := decay(now.Sub(u.lastResult), resultHalfLife)
 	return 1 + (u.slowdown-1)*d, u.failureRate * d
 }
@@ -378,6 +383,10 @@
 func (u *Upstream) WarmFor(object uint64, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.isWarmFor(object, now)
+}
+
+func (u *Upstream) isWarmFor(object uint64, now time.Time) bool {
 	t, ok := u.warmObjects[object]
 	return ok && now.Sub(t) < warmObjectTTL
 }
