--- a/internal/request/steerer/accounts_test.go
+++ b/internal/request/steerer/accounts_test.go
@@ -188,6 +188,8 @@
 // limitedQuotas allows a number of requests of all accounts together.
 type limitedQuotas struct{ left int }
 
+func (*limitedQuotas) UntilAllowed(string, time.Time) time.Duration { return time.Second }
+
 func (q *limitedQuotas) Allow(string, time.Time) bool {
 	q.left--
 	return q.left >= 0
