--- a/internal/process/registrar/speed_test.go
+++ b/internal/process/registrar/speed_test.go
@@ -47,7 +47,7 @@
 				r.Put(e, now, false)
 			}
 			at := now.Add(c.after)
-			assert.Check(t, math.Abs(u.State(0, 0, at).Slowness-c.slowness) < 0.001, "%v", u.State(0, 0, at))
+			assert.Check(t, math.Abs(u.State(0, at).Slowness-c.slowness) < 0.001, "%v", u.State(0, at))
 			assert.Check(t, math.Abs(u.MeanSpeed(at)-c.speed) < 0.005, "%v", u.MeanSpeed(at))
 			assert.Check(t, math.Abs(r.Group("s").UsableSlots("a", time.Second, at)-4*c.speed) < 0.02)
 		})
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -253,18 +253,15 @@
 func (u *Upstream) EstimatedLoad(now time.Time) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.estimatedLoad(0, now)
+	return u.estimatedLoad(now)
 }
 
-// estimatedLoad is EstimatedLoad with an expectation that has the weight that a report has lost.
-// The caller must hold mu.
-func (u *Upstream) estimatedLoad(expected float64, now time.Time) float64 {
-	own := float64(u.inFlight.Load())
-	if u.peerLoad == 0 && expected <= own {
-		return own
+func (u *Upstream) estimatedLoad(now time.Time) float64 {
+	load := float64(u.inFlight.Load())
+	if u.peerLoad > 0 {
+		load += u.peerLoad * decay(now.Sub(u.loadReported), reportedLoadHalfLife)
 	}
-	weight := decay(now.Sub(u.loadReported), reportedLoadHalfLife)
-	return own + weight*u.peerLoad + (1-weight)*max(0, expected-own)
+	return load
 }
 
 // RecordShed records that the upstream shed a request. If it has free slots, it sheds for
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -17,7 +17,6 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/process/hasher"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
-	"dandeliontrack.example/dandeliontrack/internal/request/averager"
 	"dandeliontrack.example/dandeliontrack/internal/request/estimator"
 )
 
@@ -115,7 +114,6 @@
 	region string
 
 	estimates *estimator.Estimator
-	loads     *averager.Averager
 
 	mu   sync.RWMutex
 	rtts map[string]float64 // by region, in seconds
@@ -123,7 +121,7 @@
 
 // New returns a Ranker for a host in a region.
 func New(region string) *Ranker {
-	return &Ranker{region: region, estimates: estimator.New(), loads: averager.New(), rtts: make(map[string]float64)}
+	return &Ranker{region: region, estimates: estimator.New(), rtts: make(map[string]float64)}
 }
 
 // ObserveRTT records the time that opening a connection to a region took.
@@ -189,14 +187,6 @@
 	return time.Duration(float64(max(0, expected-rtt))*slowness/c.Slowness) + rtt
 }
 
-// ObserveLoad records the load that an upstream reported together with its speed. Those that
-// don't report their speed are ranked without the mean load of their region.
-func (r *Ranker) ObserveLoad(now time.Time, u *registrar.Upstream, l registrar.Load) {
-	if l.Slots > 0 && l.Slowness() > 0 {
-		r.loads.Observe(now, u.Service(), u.Region(), float64(l.Running+l.Waiting)/float64(l.Slots))
-	}
-}
-
 // ObserveTimeout records that no response arrived within the time took.
 func (r *Ranker) ObserveTimeout(now time.Time, service, route, region string, took time.Duration) {
 	r.estimates.ObserveTimeout(now, service, route, max(0, took-r.rtt(region)))
@@ -212,15 +202,13 @@
 // serviceTimes are the service time estimates for one choice.
 type serviceTimes struct {
 	estimator.ServiceTime
-	service   string
 	queueMean time.Duration // mean over the queued requests of the service
-	meanLoad  float64       // of the upstreams of the region under comparison, for each slot; 0 if unknown
 }
 
 // estimateServiceTimes returns the estimates for a request of a route.
 func (r *Ranker) estimateServiceTimes(now time.Time, service, route string) serviceTimes {
 	cold, warm := r.estimates.ForService(service)
-	return serviceTimes{ServiceTime: r.estimates.ForRoute(now, service, route), service: service, queueMean: (cold + warm) / 2}
+	return serviceTimes{r.estimates.ForRoute(now, service, route), (cold + warm) / 2}
 }
 
 // candidate is an upstream under comparison.
@@ -230,7 +218,7 @@
 	cost       time.Duration
 	minLatency time.Duration // smallest plausible time from dispatch to the response
 	rateWait   time.Duration // until the rate limit of the upstream allows a request
-	leading    bool          // the first of its region for the object, or those before it have a rate limit or have failed
+	leading    bool          // the first of its region for the object, or those before it have a rate limit
 	doubtful   bool          // the upstream fails requests, is much slower than its peers, or is cold
 }
 
@@ -308,15 +296,14 @@
 		top = index.Top(q.RandomKey, n)
 	}
 	upstreams, rtt := q.Group.InRegion(region), r.rtt(region)
-	times.meanLoad, _ = r.loads.Mean(now, times.service, region)
 	leading := true
 	for rank, position := range top[:n] {
 		if position < 0 {
 			return
 		}
 		u := upstreams[position]
-		limited, tried := u.RateLimited(now), q.tried(u)
-		if !tried {
+		limited := u.RateLimited(now)
+		if !q.tried(u) {
 			c := evaluate(now, u, q.Object, leading, times, rtt)
 			c.Rank, c.Planned = rank, planned
 			if limited {
@@ -324,9 +311,7 @@
 			}
 			s.consider(q, &c)
 		}
-		// With a load for every upstream, all but the leading one are often too busy to warm up
-		// an object, so the next one takes the place of one that has failed the request.
-		leading = leading && (limited || (tried && times.meanLoad > 0))
+		leading = leading && limited
 	}
 }
 
@@ -389,7 +374,7 @@
 
 // evaluate estimates when the upstream would respond.
 func evaluate(now time.Time, u *registrar.Upstream, object uint64, leading bool, times *serviceTimes, rtt time.Duration) candidate {
-	state := u.State(object, times.meanLoad*float64(u.Slots()), now)
+	state := u.State(object, now)
 	c := candidate{
 		Choice: Choice{Upstream: u, Warm: state.Warm, Load: state.Load, Slowness: state.Slowness, UnloadedLatency: times.Cold},
 		state:  state, leading: leading,
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -367,7 +367,6 @@
 func (a *attempt) recordOutcome(now time.Time) {
 	if a.metadata.HasLoad {
 		a.upstream.ReportLoad(a.metadata.Load, now)
-		a.x.s.options.Ranker.ObserveLoad(now, a.upstream, a.metadata.Load)
 	}
 	a.recordRateLimit(now)
 	cause := context.Cause(a.ctx)
