Expect upstreams without a recent report to be like their peers

Cause: an old report counted as no load and the usual speed, so an upstream that was slow, and thus responded rarely, looked idle and fast to most hosts, and got more requests than the others.

In place of an old report, the load of the region and the slowness of the service are expected, as moving averages of what upstreams that report their speed say. What one report contributes is bounded, the averages are forgotten without reports, and only the expected response time depends on them: not the capacity to warm up an object, nor the time by which a request is refused as too late. A fourth figure that is not a number no longer discards the other three; two counters tell reports of the speed and invalid ones.

--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -43,6 +43,8 @@
 	BodyBytes               Counter = "body_bytes"
 	StreamBytes             Counter = "stream_bytes"
 	Panics                  Counter = "panics"
+	SpeedReports            Counter = "speed_reports"
+	InvalidSpeedReports     Counter = "invalid_speed_reports"
 )
 
 // meanings holds the descriptions of the counters in docs/metrics.md.
@@ -67,6 +69,8 @@
 	AbortedResponses:        "responses aborted because they could not be completed",
 	BodyBytes:               "bytes of requests and responses held in memory now",
 	StreamBytes:             "bytes of buffers for responses that are passed on as they arrive now",
+	SpeedReports:            "responses in which an upstream reports its speed",
+	InvalidSpeedReports:     "responses in which the speed that an upstream reports is not valid, and is ignored",
 	Panics:                  "recovered panics; the affected task failed and the process continued",
 }
 
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -96,9 +96,10 @@
 	regions map[string]string // zone to region
 
 	mu            sync.Mutex
-	upstreams     map[string]*Upstream // by ID
-	departures    map[string]departure // by ID, of upstreams without a registration
-	evacuated     map[string]bool      // zones whose upstreams get no new requests
+	upstreams     map[string]*Upstream        // by ID
+	averages      map[string]*serviceAverages // by service
+	departures    map[string]departure        // by ID, of upstreams without a registration
+	evacuated     map[string]bool             // zones whose upstreams get no new requests
 	onLeave       func(u *Upstream, reason string)
 	openBatches   int             // batches that are not committed
 	staleServices map[string]bool // services whose group is to be rebuilt
@@ -110,7 +111,7 @@
 func New(regions map[string]string) *Registrar {
 	r := &Registrar{
 		regions: regions, upstreams: make(map[string]*Upstream), departures: make(map[string]departure),
-		evacuated: make(map[string]bool), staleServices: make(map[string]bool),
+		evacuated: make(map[string]bool), averages: make(map[string]*serviceAverages), staleServices: make(map[string]bool),
 	}
 	r.groups.Store(new(map[string]*Group))
 	return r
@@ -153,7 +154,7 @@
 	changed := u == nil || u.draining != reg.Draining
 	if u == nil || u.address != reg.Address || u.service != reg.Service || u.zone != reg.Zone || u.slots != reg.Slots {
 		old := u
-		u = newUpstream(reg, r.regions[reg.Zone])
+		u = newUpstream(reg, r.regions[reg.Zone], r.peersOf(reg.Service, r.regions[reg.Zone]))
 		if old != nil {
 			u.inheritState(old)
 			r.staleServices[old.service] = true
@@ -344,6 +345,7 @@
 			g.index()
 		} else {
 			delete(groups, service)
+			delete(r.averages, service)
 		}
 	}
 	clear(r.staleServices)
--- a/internal/process/registrar/speed.go
+++ b/internal/process/registrar/speed.go
@@ -14,9 +14,6 @@
 	// meanSpeedHalfLife is the time in which the mean speed forgets half of what it was. It
 	// is long, because traffic plans depend on it and may only move slowly.
 	meanSpeedHalfLife = 5 * time.Second
-	// maxMeanSpeedWeight bounds the weight of one report in the mean speed of an upstream
-	// that reports rarely.
-	maxMeanSpeedWeight = 0.25
 	// meanSpeedGrace is the time without reports for which the mean speed stays as it is. After
 	// that, its difference from the usual one decays by half in staleSpeedHalfLife.
 	meanSpeedGrace     = 5 * time.Second
@@ -39,35 +36,31 @@
 	mean       float64   // moving average of 1/slowness, the fraction of the usual speed
 }
 
-// report records a reported slowness.
-func (s *speed) report(slowness float64, now time.Time) {
-	if s.reportedAt.IsZero() {
-		s.mean = 1
-	}
-	weight := maxMeanSpeedWeight
+// report records a reported slowness. usual is the mean speed without reports.
+func (s *speed) report(slowness float64, now time.Time, usual float64) {
+	weight := maxSampleWeight
 	if !s.reportedAt.IsZero() {
 		weight = min(weight, 1-decay(now.Sub(s.reportedAt), meanSpeedHalfLife))
 	}
-	s.mean = s.meanAt(now)
+	s.mean = s.meanAt(now, usual)
 	s.mean += weight * (1/slowness - s.mean)
 	s.slowness, s.reportedAt = slowness, now
 }
 
-// meanAt returns the mean speed as a fraction of the usual one, 1 without reports.
-func (s *speed) meanAt(now time.Time) float64 {
+// meanAt returns the mean speed as a fraction of the usual one.
+func (s *speed) meanAt(now time.Time, usual float64) float64 {
 	if s.reportedAt.IsZero() {
-		return 1
+		return usual
 	}
-	return 1 + (s.mean-1)*decay(now.Sub(s.reportedAt)-meanSpeedGrace, staleSpeedHalfLife)
+	return usual + (s.mean-usual)*decay(now.Sub(s.reportedAt)-meanSpeedGrace, staleSpeedHalfLife)
 }
 
 // slownessAt returns the expected slowness: the reported one, which decays to the usual one.
-// It is 1 without reports.
-func (s *speed) slownessAt(now time.Time) float64 {
+func (s *speed) slownessAt(now time.Time, usual float64) float64 {
 	if s.reportedAt.IsZero() {
-		return 1
+		return usual
 	}
-	return 1 + (s.slowness-1)*decay(now.Sub(s.reportedAt), slownessHalfLife)
+	return usual + (s.slowness-usual)*decay(now.Sub(s.reportedAt), slownessHalfLife)
 }
 
 // MeanSpeed returns the speed of the upstream as a fraction of the usual one, averaged over
@@ -75,5 +68,5 @@
 func (u *Upstream) MeanSpeed(now time.Time) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.speed.meanAt(now)
+	return u.speed.meanAt(now, u.usual(u.peers.speed, 1, now))
 }
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -44,7 +44,7 @@
 type Load struct {
 	Running, Waiting, Slots int
 	// SlownessPercent is the time that work takes there at this moment, in percent of the
-	// usual. It is 0 if the upstream doesn't report it.
+	// usual. It is 0 if the upstream doesn't report it; invalid values are ignored.
 	SlownessPercent int
 }
 
@@ -53,6 +53,7 @@
 	id, address, service, zone, region string
 	slots                              int
 	hash                               uint64
+	peers                              peers
 
 	inFlight    atomic.Int64
 	rateLimited atomic.Bool // whether limit holds a rate limit
@@ -81,9 +82,9 @@
 	limit            rateLimit
 }
 
-func newUpstream(reg Registration, region string) *Upstream {
+func newUpstream(reg Registration, region string, p peers) *Upstream {
 	return &Upstream{
-		id: reg.ID, address: reg.Address, service: reg.Service, zone: reg.Zone, region: region,
+		id: reg.ID, address: reg.Address, service: reg.Service, zone: reg.Zone, region: region, peers: p,
 		slots: max(reg.Slots, 1), hash: xxhash.Sum64String(reg.ID), startUnixMilli: reg.StartUnixMilli, slowdown: 1,
 	}
 }
@@ -243,7 +244,7 @@
 	u.loadReported = now
 	u.shedUntil = time.Time{}
 	if slowness := l.Slowness(); slowness > 0 {
-		u.speed.report(slowness, now)
+		u.reportSpeed(slowness, now)
 	}
 }
 
@@ -256,12 +257,16 @@
 	return u.estimatedLoad(now)
 }
 
-func (u *Upstream) estimatedLoad(now time.Time) float64 {
+func (u *Upstream) estimatedLoad(now time.Time) float64 { return u.expectedLoad(now, 0) }
+
+// expectedLoad returns the estimated load if usual requests of other hosts are expected without
+// a report.
+func (u *Upstream) expectedLoad(now time.Time, usual float64) float64 {
 	load := float64(u.inFlight.Load())
-	if u.peerLoad > 0 {
-		load += u.peerLoad * decay(now.Sub(u.loadReported), reportedLoadHalfLife)
+	if u.peerLoad != usual {
+		usual += (u.peerLoad - usual) * decay(now.Sub(u.loadReported), reportedLoadHalfLife)
 	}
-	return load
+	return load + usual
 }
 
 // RecordShed records that the upstream shed a request. If it has free slots, it sheds for
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -383,7 +383,7 @@
 	if c.Warm {
 		c.UnloadedLatency = times.Warm
 	}
-	if excess := c.Load + 1 - float64(u.Slots()); excess > 0 {
+	if excess := state.ExpectedLoad + 1 - float64(u.Slots()); excess > 0 {
 		c.QueueWait = time.Duration(excess * float64(times.queueMean) * slowdown / float64(u.Slots()))
 	}
 	// The leading upstream warms up the object for all hosts, so it is rated as if
@@ -398,7 +398,7 @@
 		minTime = 0 // the service times of other routes do not apply to this one
 	}
 	c.UnloadedLatency = time.Duration(float64(c.UnloadedLatency)*slowdown) + rtt
-	c.minLatency = time.Duration(float64(minTime)*slowdown) + rtt
+	c.minLatency = time.Duration(float64(minTime)*state.Slowdown*state.LeastSlowness) + rtt
 	c.cost = time.Duration(float64(rankingTime)*slowdown) + rtt + c.QueueWait
 	c.cost += time.Duration(state.FailureRate * failureCostFactor * float64(times.Cold))
 	// The reported slowness is left out: it changes many times a second, and the requests of a
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -30,6 +30,11 @@
 	cacheLossAt time.Duration
 	// maxWarmUps is the largest accepted mean number of cold requests for an object.
 	maxWarmUps int
+	// slowness, of the upstreams and in steps of slownessStep, makes work take longer. The
+	// upstreams report it and their load in responses. Hosts use reports from reportAge on.
+	slowness     [][]float64
+	reportAge    time.Duration
+	threeFigures bool // the slowness is not reported
 }
 
 // outcome counts requests. The cold ones are among the others.
@@ -37,11 +42,12 @@
 
 func (o outcome) total() int { return o.inTime + o.late + o.refused }
 
-// event is the arrival of a request (upstream -1) or the completion of one.
+// event is the arrival of a request (upstream -1), the completion of one, or another step.
 type event struct {
 	at       time.Time
 	upstream int
 	req      *request
+	do       func()
 }
 
 type request struct {
@@ -73,6 +79,7 @@
 	ranker    *ranker.Ranker
 	rng       *rand.Rand
 	workload  workload
+	fleet     *simulation // for choices that know more than a host can
 }
 
 // server is an upstream with slots, a queue and a cache.
@@ -116,7 +123,7 @@
 	if b.EstimatedLoad(now) < a.EstimatedLoad(now) {
 		a = b
 	}
-	return ranker.Choice{Upstream: a}
+	return ranker.Choice{Upstream: a, Slowness: 1}
 }
 
 // simulation is one run of a workload.
@@ -129,11 +136,13 @@
 	servers  []*server
 	queue    events
 	out      outcome
+	start    time.Time
+	times    []time.Duration // of responses
 }
 
 func newSimulation(l workload, choose chooser, now time.Time) *simulation {
 	s := &simulation{
-		workload: l, choose: choose, rng: rand.New(rand.NewPCG(1, 2)), hosts: make([]*host, l.hosts),
+		workload: l, choose: choose, start: now, rng: rand.New(rand.NewPCG(1, 2)), hosts: make([]*host, l.hosts),
 		index: make(map[string]int), servers: make([]*server, l.upstreams),
 	}
 	for i := range s.hosts {
@@ -143,7 +152,7 @@
 			s.index[id] = u
 			r.Put(registrar.Registration{ID: id, Service: "prices", Address: id, Zone: "z", Slots: l.slots, RowVersion: sequencer.New(0, 1)}, now, true)
 		}
-		s.hosts[i] = &host{r, ranker.New("r"), rand.New(rand.NewPCG(uint64(i), 3)), l}
+		s.hosts[i] = &host{r, ranker.New("r"), rand.New(rand.NewPCG(uint64(i), 3)), l, s}
 	}
 	for i := range s.servers {
 		s.servers[i] = new(server)
@@ -151,7 +160,9 @@
 	return s
 }
 
-func simulate(l workload, choose chooser) outcome {
+func simulate(l workload, choose chooser) outcome { return runSimulation(l, choose).out }
+
+func runSimulation(l workload, choose chooser) *simulation {
 	start := time.Unix(1000, 0)
 	w := newSimulation(l, choose, start)
 	heap.Push(&w.queue, event{at: start, upstream: -1})
@@ -164,7 +175,11 @@
 				s.cached = nil
 			}
 		}
-		if e.upstream >= 0 {
+		switch {
+		case e.do != nil:
+			e.do()
+			continue
+		case e.upstream >= 0:
 			w.end(e)
 			continue
 		}
@@ -173,7 +188,7 @@
 			heap.Push(&w.queue, event{at: e.at.Add(gap), upstream: -1})
 		}
 	}
-	return w.out
+	return w
 }
 
 func (w *simulation) arrive(now time.Time) {
@@ -189,10 +204,10 @@
 		s.queue = append(s.queue, req)
 		return
 	}
-	w.start(u, req, now)
+	w.startRequest(u, req, now)
 }
 
-func (w *simulation) start(u int, req *request, now time.Time) {
+func (w *simulation) startRequest(u int, req *request, now time.Time) {
 	s := w.servers[u]
 	s.running++
 	serviceTime := w.workload.warm
@@ -200,7 +215,7 @@
 		serviceTime = w.workload.cold
 		w.out.cold++
 	}
-	heap.Push(&w.queue, event{at: now.Add(serviceTime), upstream: u, req: req})
+	heap.Push(&w.queue, event{at: w.endOfWork(u, now, serviceTime), upstream: u, req: req})
 }
 
 func (w *simulation) end(e event) {
@@ -210,25 +225,70 @@
 	if len(s.queue) > 0 {
 		next := s.queue[0]
 		s.queue = s.queue[1:]
-		w.start(e.upstream, next, e.at)
+		w.startRequest(e.upstream, next, e.at)
 	}
-	finish(w.hosts[e.req.host], e.req, s, e.at, &w.out, w.workload)
+	w.finish(w.hosts[e.req.host], e.req, s, e)
 }
 
-func finish(h *host, req *request, s *server, now time.Time, out *outcome, l workload) {
-	u, took := req.choice.Upstream, now.Sub(req.arrived)
+func (w *simulation) finish(h *host, req *request, s *server, e event) {
+	u, took, l := req.choice.Upstream, e.at.Sub(req.arrived), &w.workload
+	w.times = append(w.times, took)
 	u.EndRequest()
-	u.ReportLoad(registrar.Load{Running: s.running, Waiting: len(s.queue), Slots: l.slots}, now)
-	u.MarkWarm(req.object*0x9e3779b97f4a7c15, now)
-	u.RecordSuccess(now, float64(took)/float64(max(req.choice.QueueWait+req.choice.UnloadedLatency, time.Millisecond)))
+	load := registrar.Load{Running: s.running, Waiting: len(s.queue), Slots: l.slots}
+	slowness := w.report(&req.choice, load, e)
+	u.MarkWarm(req.object*0x9e3779b97f4a7c15, e.at)
+	u.RecordSuccess(e.at, float64(took)/float64(max(h.ranker.ExpectedTime(&req.choice, slowness), time.Millisecond)))
 	if len(s.queue) == 0 && req.choice.QueueWait == 0 {
-		h.ranker.ObserveResponse(now, "prices", "prices", req.choice.Warm, "r", took)
+		h.ranker.ObserveResponse(e.at, "prices", "prices", req.choice.Warm, "r", h.ranker.UsualTime("r", took, slowness))
 	}
 	if took <= l.target {
-		out.inTime++
+		w.out.inTime++
 	} else {
-		out.late++
+		w.out.late++
+	}
+}
+
+// slownessStep is the time for which the slowness of an upstream stays the same.
+const slownessStep = 50 * time.Millisecond
+
+func (w *simulation) slownessAt(u int, at time.Time) float64 {
+	if w.workload.slowness == nil {
+		return 1
+	}
+	steps := w.workload.slowness[u]
+	return steps[max(0, int(at.Sub(w.start)/slownessStep))%len(steps)]
+}
+
+// endOfWork returns when work that usually takes the time usual ends.
+func (w *simulation) endOfWork(u int, begin time.Time, usual time.Duration) time.Time {
+	if w.workload.slowness == nil {
+		return begin.Add(usual)
+	}
+	for {
+		slowness := w.slownessAt(u, begin)
+		step := slownessStep - begin.Sub(w.start)%slownessStep
+		if end := time.Duration(float64(usual) * slowness); end <= step {
+			return begin.Add(end)
+		}
+		usual -= time.Duration(float64(step) / slowness)
+		begin = begin.Add(step)
+	}
+}
+
+// report delivers the load in a response, and returns the slowness of the work as far as the
+// host knows it.
+func (w *simulation) report(c *ranker.Choice, load registrar.Load, e event) float64 {
+	slowness := c.Slowness
+	if !w.workload.threeFigures && w.workload.slowness != nil {
+		load.SlownessPercent = int(100 * w.slownessAt(e.upstream, e.at))
+		slowness = (slowness + 0.01*float64(load.SlownessPercent)) / 2
+	}
+	if w.workload.reportAge == 0 {
+		c.Upstream.ReportLoad(load, e.at)
+		return slowness
 	}
+	heap.Push(&w.queue, event{at: e.at.Add(w.workload.reportAge), do: func() { c.Upstream.ReportLoad(load, e.at) }})
+	return slowness
 }
 
 // coldOverload offers 1.6 times the capacity of the slots if all caches are empty, and
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -366,7 +366,7 @@
 // recordOutcome updates the state of the upstream and the estimates of the ranker.
 func (a *attempt) recordOutcome(now time.Time) {
 	if a.metadata.HasLoad {
-		a.upstream.ReportLoad(a.metadata.Load, now)
+		a.recordLoad(now)
 	}
 	a.recordRateLimit(now)
 	cause := context.Cause(a.ctx)
@@ -432,22 +432,6 @@
 // maxLoggedValueBytes bounds the part of an invalid field that is logged.
 const maxLoggedValueBytes = 64
 
-// slowness returns the time that the work took as a multiple of the usual, as far as the
-// upstream reports it: the mean of what was expected and what the response says.
-func (a *attempt) slowness() float64 {
-	if reported := a.metadata.Load.Slowness(); reported > 0 {
-		return (a.choice.Slowness + reported) / 2
-	}
-	return a.choice.Slowness
-}
-
-// timeRatio returns the ratio of the elapsed time to the one that was to be expected at the
-// speed of the upstream.
-func (a *attempt) timeRatio() float64 {
-	expected := a.x.s.options.Ranker.ExpectedTime(&a.choice, a.slowness())
-	return float64(a.elapsed) / float64(max(expected, time.Millisecond))
-}
-
 func (a *attempt) recordSuccess(now time.Time) {
 	a.upstream.RecordSuccess(now, a.timeRatio())
 	o := &a.x.s.options
