Decay a report once for each look at an upstream

Cause: with reported speeds, a choice computed five exponentials for each candidate. The load and the slowness of a report are now decayed once each.

--- a/internal/process/registrar/speed.go
+++ b/internal/process/registrar/speed.go
@@ -55,14 +55,6 @@
 	return usual + (s.mean-usual)*decay(now.Sub(s.reportedAt)-meanSpeedGrace, staleSpeedHalfLife)
 }
 
-// slownessAt returns the expected slowness: the reported one, which decays to the usual one.
-func (s *speed) slownessAt(now time.Time, usual float64) float64 {
-	if s.reportedAt.IsZero() {
-		return usual
-	}
-	return usual + (s.slowness-usual)*decay(now.Sub(s.reportedAt), slownessHalfLife)
-}
-
 // MeanSpeed returns the speed of the upstream as a fraction of the usual one, averaged over
 // seconds. It is 1 for an upstream that doesn't report it.
 func (u *Upstream) MeanSpeed(now time.Time) float64 {
--- a/internal/process/registrar/state.go
+++ b/internal/process/registrar/state.go
@@ -26,10 +26,22 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := State{
-		Load: u.estimatedLoad(now), ExpectedLoad: u.expectedLoad(now, u.usualLoad(now)), Slowness: u.speed.slownessAt(now, u.usual(u.peers.slowness, 1, now)), Cold: u.isCold(now), CanAdmitCold: !now.Before(u.nextColdRequest),
+		Load: float64(u.inFlight.Load()), Cold: u.isCold(now), CanAdmitCold: !now.Before(u.nextColdRequest),
 		RecentlyShed: now.Before(u.shedUntil), Warm: object != 0 && u.isWarmFor(object, now),
 	}
-	s.LeastSlowness = min(s.Slowness, u.speed.slownessAt(now, 1))
 	s.Slowdown, s.FailureRate = u.quality(now)
+	s.ExpectedLoad = s.Load
+	if usual := u.usualLoad(now); usual != 0 || u.peerLoad != 0 {
+		weight := decay(now.Sub(u.loadReported), reportedLoadHalfLife)
+		s.Load += u.peerLoad * weight
+		s.ExpectedLoad += usual + (u.peerLoad-usual)*weight
+	}
+	s.Slowness = u.usual(u.peers.slowness, 1, now)
+	s.LeastSlowness = min(s.Slowness, 1)
+	if !u.speed.reportedAt.IsZero() {
+		weight := decay(now.Sub(u.speed.reportedAt), slownessHalfLife)
+		s.LeastSlowness = min(s.Slowness+(u.speed.slowness-s.Slowness)*weight, 1+(u.speed.slowness-1)*weight)
+		s.Slowness += (u.speed.slowness - s.Slowness) * weight
+	}
 	return s
 }
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -257,16 +257,12 @@
 	return u.estimatedLoad(now)
 }
 
-func (u *Upstream) estimatedLoad(now time.Time) float64 { return u.expectedLoad(now, 0) }
-
-// expectedLoad returns the estimated load if usual requests of other hosts are expected without
-// a report.
-func (u *Upstream) expectedLoad(now time.Time, usual float64) float64 {
+func (u *Upstream) estimatedLoad(now time.Time) float64 {
 	load := float64(u.inFlight.Load())
-	if u.peerLoad != usual {
-		usual += (u.peerLoad - usual) * decay(now.Sub(u.loadReported), reportedLoadHalfLife)
+	if u.peerLoad > 0 {
+		load += u.peerLoad * decay(now.Sub(u.loadReported), reportedLoadHalfLife)
 	}
-	return load + usual
+	return load
 }
 
 // RecordShed records that the upstream shed a request. If it has free slots, it sheds for
