--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -44,6 +44,8 @@
 	StreamBytes             Counter = "stream_bytes"
 	Panics                  Counter = "panics"
 	QuotaUse                Counter = "quota_use"
+	SpeedReports            Counter = "speed_reports"
+	InvalidSpeedReports     Counter = "invalid_speed_reports"
 )
 
 // meanings holds the descriptions of the counters in docs/metrics.md.
@@ -68,6 +70,8 @@
 	AbortedResponses:        "responses aborted because they could not be completed",
 	BodyBytes:               "bytes of requests and responses held in memory now",
 	StreamBytes:             "bytes of buffers for responses that are passed on as they arrive now",
+	SpeedReports:            "responses in which an upstream reports its speed",
+	InvalidSpeedReports:     "responses in which the speed that an upstream reports is not valid, and is ignored",
 	Panics:                  "recovered panics; the affected task failed and the process continued",
 	QuotaUse:                "percent of the quotas of client accounts that requests of this host use now, by account, the ten largest",
 }
