Bound extra attempts over a restart of hosts

Cause: a process of a host could use up all that the requests of the last 11 s allow at one moment, and the next process of the host counted anew: what requests of the window allow was used once before the end of the process, and for a part of the window again after it.

Change: 0.4 of what the requests of the window allow may be used at once; the other 0.6 only as far as requests came since. A process younger than the window has only the 0.6 of its own requests. Both together stay within the fraction of the requests in any window over the restart, without messages or stored state. Weighed: no extra attempts for one window (starves retries in a roll of all hosts); hosts that tell each other what they used (nobody knows after all were killed); a bucket as deep as the fixed number (0.7 attempts at each of 77 hosts).

--- a/internal/process/budgeter/budgeter.go
+++ b/internal/process/budgeter/budgeter.go
@@ -3,9 +3,14 @@
 //
 // The limit applies to all hosts together over a sliding window: a fraction of the
 // requests plus a fixed number. Each host may use that fraction of its own requests and
-// an equal share of the fixed number, so that hosts need not communicate. An earlier process
-// of the host may have used the share just before it ended, so a process has it only
-// when one window has passed.
+// an equal share of the fixed number, so that hosts need not communicate.
+//
+// An earlier process of the host may have used all that it was allowed just before it ended. So
+// a process has its share of the fixed number only when one window has passed, and of the
+// fraction a part is for extra attempts right away, whenever the requests came in the window,
+// and the rest is earned by the requests since. Until one window has passed, a process has only
+// what is earned: that and the part for right away of the earlier process are together within
+// the limit.
 package budgeter
 
 import (
@@ -20,6 +25,10 @@
 	// usableFraction is the fraction of the limit that is used. The rest allows for
 	// callers and upstreams that count a request at slightly different times.
 	usableFraction = 0.85
+	// burstFraction is the part of what the requests in the window allow that extra attempts may
+	// use up at once. The rest may only be used as far as the requests since the first of these
+	// attempts allow it.
+	burstFraction = 0.4
 )
 
 // Limit is the number of extra attempts, beyond the first one of each request, that all
@@ -96,18 +105,39 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.counts(name, now)
-	var requests, extraAttempts float64
-	for i := range s.requests {
-		requests += s.requests[i]
-		extraAttempts += s.extraAttempts[i]
+	if now.Sub(b.start) < b.limit.Window {
+		return s.allowNew(b.limit.Ratio)
 	}
-	allowed := b.limit.Ratio * requests
-	if now.Sub(b.start) >= b.limit.Window {
-		allowed += b.limit.Fixed / float64(max(1, b.hosts()))
+	all, _ := s.sum(windowBuckets + 1)
+	atOnce := burstFraction*b.limit.Ratio*all + b.limit.Fixed/float64(max(1, b.hosts()))
+	for buckets := range windowBuckets + 1 {
+		requests, extraAttempts := s.sum(buckets + 1)
+		if extraAttempts+1 > usableFraction*(atOnce+(1-burstFraction)*b.limit.Ratio*requests) {
+			return false
+		}
 	}
-	if extraAttempts+1 > usableFraction*allowed {
+	s.countExtraAttempt()
+	return true
+}
+
+// allowNew is AllowExtraAttempt for a process that is younger than the window.
+func (s *service) allowNew(ratio float64) bool {
+	requests, extraAttempts := s.sum(windowBuckets + 1)
+	if extraAttempts+1 > usableFraction*(1-burstFraction)*ratio*requests {
 		return false
 	}
-	s.extraAttempts[s.newest%(windowBuckets+1)]++
+	s.countExtraAttempt()
 	return true
 }
+
+func (s *service) countExtraAttempt() { s.extraAttempts[s.newest%(windowBuckets+1)]++ }
+
+// sum returns the requests and the extra attempts in the newest buckets.
+func (s *service) sum(buckets int) (requests, extraAttempts float64) {
+	for i := range buckets {
+		bucket := (s.newest + windowBuckets + 1 - int64(i)) % (windowBuckets + 1)
+		requests += s.requests[bucket]
+		extraAttempts += s.extraAttempts[bucket]
+	}
+	return requests, extraAttempts
+}
