--- a/internal/process/budgeter/budgeter_test.go
+++ b/internal/process/budgeter/budgeter_test.go
@@ -33,6 +33,16 @@
 	return sentAt
 }
 
+// countBetween returns how many of the times are in [from, to).
+func countBetween(times []time.Duration, from, to time.Duration) (n int) {
+	for _, d := range times {
+		if d >= from && d < to {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against extra attempts that multiply an overload: in any window, those of all
 // hosts together must not exceed the fraction of the requests plus the fixed number. A
 // process does not know what an earlier one of its host used, so restarts must not renew
@@ -60,21 +70,12 @@
 				sentAt = append(sentAt, sendUntilRefused(limit, hosts, c.rate, c.failsFrom, c.restarts)...)
 			}
 			for start := time.Duration(0); start <= 20*time.Second; start += 250 * time.Millisecond {
-				n := 0
-				for _, d := range sentAt {
-					if d >= start && d < start+limit.Window {
-						n++
-					}
-				}
+				n := countBetween(sentAt, start, start+limit.Window)
 				assert.Assert(t, float64(n) <= 0.2*hosts*float64(c.rate)*10+56, "%d in the window from %v", n, start)
 			}
 			if len(c.restarts) > 0 {
-				last, n := c.restarts[len(c.restarts)-1], 0
-				for _, d := range sentAt {
-					if d >= last && d < last+limit.Window {
-						n++
-					}
-				}
+				last := c.restarts[len(c.restarts)-1]
+				n := countBetween(sentAt, last, last+limit.Window)
 				seconds := min(limit.Window, 30*time.Second-last).Seconds()
 				assert.Assert(t, float64(n) >= 0.08*hosts*float64(c.rate)*seconds, "%d after the restart", n)
 			}
