Hold request bodies in segments that are counted in full

Cause: a body of unknown length was read into a buffer that doubled while it grew, and was copied into another one with its header: counted once, held up to three times. A long body was read in the attempt, after the choice of an upstream, so a slow caller counted as a request to that upstream, and got 504, which doesn't say that the request hasn't run. A caller that expects 100 was asked for a body that had no memory.

Change: segmenter.Body holds segments, each reserved before it is allocated, until its last user has released it; the sender writes them without a copy. The handler reads a long body with Call.ReadBody before it chooses an upstream. A body of known length is reserved before its first byte is asked for. Without memory the response is 503 at once; bodies over 1 MiB leave a quarter of the memory to others. A body must be complete by the deadline of its request, and when a shutdown ends reading. A long body is sent to another upstream only if no byte of it left the host, as before. A body of exactly MaxBodyBytes in chunks is served; one byte more gets 413 and not 400.

Two test handlers of the acceptor read the body in the new form; what they check is unchanged.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -25,6 +25,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/listener"
 	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
+	"dandeliontrack.example/dandeliontrack/internal/connection/segmenter"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 )
 
@@ -87,10 +88,9 @@
 
 // Call is one request of a caller with its buffered body.
 type Call struct {
-	Request       *http.Request // its Body is nil unless the body is streamed
-	Body          []byte        // the complete body, unless Request.Body streams it
-	Arrived       time.Time     // when the first byte was read
-	reservedBytes int64         // memory reserved for Body
+	Request *http.Request   // its Body is nil unless the handler has to call ReadBody
+	Body    *segmenter.Body // the complete body, after ReadBody
+	Arrived time.Time       // when the first byte was read
 }
 
 // Handler responds to calls. Serve must write the response before it returns. Its
@@ -109,6 +109,9 @@
 	Concurrent func(r *http.Request) bool
 	// Memory bounds the total size of buffered bodies. Nil means no bound.
 	Memory *reserver.Reserver
+	// BodyDeadline returns the time until which the body of a request must be read, given when
+	// its first byte arrived. Nil means that only the time of each read is bounded.
+	BodyDeadline func(r *http.Request, arrived time.Time) time.Time
 	// Guard runs f, recovers a panic and reports whether there was one. Place names f
 	// in logs. Nil means that panics are not recovered.
 	Guard func(place string, f func()) bool
@@ -273,9 +276,26 @@
 // limitReading makes requests be refused that have not been read to their end by a time, if
 // there is such a time already and it is later.
 func (a *Acceptor) limitReading(end time.Time) {
-	if old := a.readEnd.Load(); old != 0 {
-		a.readEnd.Store(min(old, end.UnixNano()))
+	old := a.readEnd.Load()
+	if old == 0 {
+		return
 	}
+	a.readEnd.Store(min(old, end.UnixNano()))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.mu.Lock()
+		if c.body != nil {
+			c.body.limitRead()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// readingEnded reports whether requests that have been read are refused.
+func (a *Acceptor) readingEnded() bool {
+	end := a.readEnd.Load()
+	return end != 0 && time.Now().UnixNano() >= end
 }
 
 // closeIdle closes the connections without a request in flight or arriving, and returns
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -48,7 +49,7 @@
 			return
 		}
 	}
-	body := path + " " + string(c.Body)
+	body := path + " " + string(bytes.Join(c.Body.Segments(), nil))
 	if w.WriteHeader(http.StatusOK, http.Header{}, int64(len(body))) == nil {
 		_, _ = w.Write([]byte(body))
 	}
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -47,8 +47,9 @@
 	mu              sync.Mutex
 	inFlight        int // requests in flight
 	calls           []*Call
-	nextArrived     bool // the next request has begun to arrive and is to be served
-	closing         bool // no further request is read
+	body            *timedBody // that was last read or is being read
+	nextArrived     bool       // the next request has begun to arrive and is to be served
+	closing         bool       // no further request is read
 	readBufferBytes int
 	lastActive      time.Time // when the connection was accepted or its last response completed
 }
@@ -214,10 +215,10 @@
 	}
 }
 
-// releaseBody releases the memory reserved for the body of a call, which may be nil.
+// releaseBody drops the reference to the body of a call, which may be nil.
 func (c *conn) releaseBody(call *Call) {
 	if call != nil {
-		c.acceptor.options.Memory.Release(call.reservedBytes)
+		call.Body.Release()
 	}
 }
 
@@ -258,7 +259,7 @@
 		return nil, http.StatusBadRequest
 	}
 	call, status := c.readBody(&Call{Request: r, Arrived: arrived}, limits)
-	if end := c.acceptor.readEnd.Load(); call != nil && end != 0 && time.Now().UnixNano() >= end {
+	if (call != nil || status == http.StatusRequestTimeout) && c.acceptor.readingEnded() {
 		c.acceptor.droppedRequests.Add(1)
 		c.releaseBody(call)
 		return nil, http.StatusServiceUnavailable
--- a/internal/connection/acceptor/head_test.go
+++ b/internal/connection/acceptor/head_test.go
@@ -1,6 +1,7 @@
 package acceptor_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -70,13 +71,14 @@
 }
 
 func (h *recordingHandler) Serve(_ context.Context, c *acceptor.Call, w *acceptor.ResponseWriter) {
-	body := c.Body
+	body := bytes.Join(c.Body.Segments(), nil)
 	if c.Request.Body != nil {
-		var err error
-		if body, err = io.ReadAll(c.Request.Body); err != nil {
+		rest, err := io.ReadAll(c.Request.Body)
+		if err != nil {
 			w.Refuse(http.StatusBadRequest, nil)
 			return
 		}
+		body = append(body, rest...)
 	}
 	h.mu.Lock()
 	h.requests = append(h.requests, fmt.Sprintf("%s %s %s", c.Request.Method, c.Request.RequestURI, body))
--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -35,7 +35,15 @@
 	Target string // path and query, as received from the caller
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   [][]byte // segments
+}
+
+// bodyBytes returns the length of the body.
+func (r *Request) bodyBytes() (n int) {
+	for _, segment := range r.Body {
+		n += len(segment)
+	}
+	return n
 }
 
 // Conn is a connection taken from the pool for one request. It is not safe for
@@ -97,25 +105,39 @@
 func (c *Conn) address() string { return c.conn.RemoteAddr().String() }
 
 func (c *Conn) roundTrip(r *Request) (*http.Response, error) {
+	reused := c.used
+	c.inFlight, c.used = true, true
+	if r.bodyBytes() > maxCopiedBodyBytes {
+		return c.roundTripLong(r, reused)
+	}
 	head := headerBuffers.Get().(*bytes.Buffer)
 	defer headerBuffers.Put(head)
 	head.Reset()
 	writeRequest(head, r)
 	start := time.Now()
-	c.inFlight = true
-	reused := c.used
-	n, err := c.conn.Write(head.Bytes())
-	if err != nil {
-		if n == 0 {
-			return nil, classifier.Unreachable.Wrap(err, "upstream "+c.address())
-		}
-		return nil, classifier.Failed.Wrap(asTimeout(err), "upstream "+c.address())
+	if n, err := c.conn.Write(head.Bytes()); err != nil {
+		return nil, c.writeError(int64(n), err)
+	}
+	response, err := c.readMatching(r, reused)
+	if classifier.Of(err) == classifier.Failed {
+		c.detectDrop(err, start)
 	}
-	c.used = true
+	return response, err
+}
+
+// writeError returns the error of a request of which n bytes were written.
+func (c *Conn) writeError(n int64, err error) error {
+	if n == 0 {
+		return classifier.Unreachable.Wrap(err, "upstream "+c.address())
+	}
+	return classifier.Failed.Wrap(asTimeout(err), "upstream "+c.address())
+}
+
+// readMatching reads responses until one belongs to the request.
+func (c *Conn) readMatching(r *Request, reused bool) (*http.Response, error) {
 	for range maxSkippedResponses {
 		response, err := c.readResponse(r)
 		if err != nil {
-			c.detectDrop(asTimeout(err), start)
 			return nil, classifier.Failed.Wrap(asTimeout(err), "upstream "+c.address())
 		}
 		match := c.sender.options.Match(r.Header, response.Header)
@@ -153,6 +175,7 @@
 	return err
 }
 
+// writeRequest writes the header of a request, and its body unless that is long.
 func writeRequest(b *bytes.Buffer, r *Request) {
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
@@ -161,13 +184,19 @@
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
 	_ = r.Header.Write(b) // a bytes.Buffer does not fail
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+	n := r.bodyBytes()
+	if n > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString(strconv.Itoa(n))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
+	if n > maxCopiedBodyBytes {
+		return
+	}
+	for _, segment := range r.Body {
+		b.Write(segment)
+	}
 }
 
 // readResponse reads the header of the next response that is not an informational (1xx)
--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -115,7 +115,7 @@
 		"deadline": {func(t *testing.T, s *sender.Sender, address string) {
 			c, err := s.Get(t.Context(), address)
 			assert.NilError(t, err)
-			r := &sender.Request{Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{}, Body: []byte("x")}
+			r := &sender.Request{Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("x")}}
 			_, err = c.Do(t.Context(), r, time.Now().Add(50*time.Millisecond))
 			assert.Equal(t, classifier.Of(err), classifier.TimedOut)
 		}, syscall.ECONNRESET},
@@ -162,7 +162,7 @@
 	if err != nil {
 		return "", err
 	}
-	r := &sender.Request{Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("x")}
+	r := &sender.Request{Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte("x")}}
 	a, err := c.Do(t.Context(), r, time.Now().Add(10*time.Second))
 	if err != nil {
 		return "", err
--- a/internal/connection/sender/write_test.go
+++ b/internal/connection/sender/write_test.go
@@ -75,7 +75,7 @@
 			}
 			assert.NilError(t, up.Close())
 			time.Sleep(20 * time.Millisecond)
-			r := &sender.Request{Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{}, Body: []byte("x")}
+			r := &sender.Request{Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("x")}}
 			_, err = conn.Do(t.Context(), r, time.Now().Add(time.Second))
 			assert.Equal(t, classifier.Of(err), c.want, "%v", err)
 		})
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -194,7 +194,7 @@
 		Memory: memory, Streams: streams, StreamBytes: upstreamReceiveBytes, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
 	})
 	c.acceptor = acceptor.New(acceptor.Options{
-		Handler: requests, Limits: c.acceptorLimits, Concurrent: requests.Repeatable, Memory: memory, Guard: c.recoverer.Do,
+		Handler: requests, Limits: c.acceptorLimits, Concurrent: requests.Repeatable, BodyDeadline: requests.BodyDeadline, Memory: memory, Guard: c.recoverer.Do,
 		AcceptFailed: c.logAcceptError,
 	})
 	c.followers = c.newFollowers()
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -63,8 +63,7 @@
 	auxiliaryIdleTimeout   = 30 * time.Second
 
 	// bodyMemoryFraction is the fraction of the memory limit that request and response
-	// bodies may use: 55 MB of 184 MB, which holds 55 responses of the maximum size. Buffers
-	// of requests double as they grow, so up to twice as much may be in use for them.
+	// bodies may use: 55 MB of 184 MB, which holds 55 responses of the maximum size.
 	bodyMemoryFraction = 0.3
 
 	// upstreamReceiveBytes is the size of the receive buffer of a connection to an upstream.
--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -29,9 +29,13 @@
 
 // TryAcquire reserves n bytes if that many are free, and reports whether it did. The caller
 // returns them with Release.
-func (r *Reserver) TryAcquire(n int64) bool {
+func (r *Reserver) TryAcquire(n int64) bool { return r.TryAcquireLeaving(n, 0) }
+
+// TryAcquireLeaving reserves n bytes as TryAcquire does, but only if a fraction of the limit
+// stays free.
+func (r *Reserver) TryAcquireLeaving(n int64, fraction float64) bool {
 	used := r.used.Add(n)
-	if r.limit > 0 && used > r.limit {
+	if r.limit > 0 && float64(used) > (1-fraction)*float64(r.limit) {
 		r.used.Add(-n)
 		return false
 	}
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -1,11 +1,9 @@
 package steerer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -33,30 +31,29 @@
 // attempt is a request to one upstream. Its goroutine sends the request and reads the
 // header of the response and a body that is buffered.
 type attempt struct {
-	x               *exchange
-	choice          ranker.Choice
-	upstream        *registrar.Upstream
-	upstreamStart   int64 // start time of the upstream's process, in Unix milliseconds
-	start           time.Time
-	pauses          uint64    // pauses of the process when the upstream was chosen
-	deadline        time.Time // sent to the upstream
-	ctx             context.Context
-	cancel          context.CancelCauseFunc
-	conn            *sender.Conn
-	metadata        ResponseMetadata
-	response        *http.Response
-	body            [][]byte // segments
-	complete        bool     // body is the complete body of the response
-	delivered       bool     // the response was passed on to the caller
-	abandoned       bool     // the exchange doesn't use it any more
-	requestBodyRead bool     // the request's body was read from the caller
-	errorStatus     int      // status of a response that may be delivered despite err
-	err             error
-	elapsed         time.Duration
-	done            atomic.Bool
-	reservedBytes   int64        // memory for the bodies of request and response
-	streamedBytes   int64        // memory to pass on the response as it arrives
-	bodyRefs        atomic.Int32 // users of the bodies: the attempt and its exchange
+	x             *exchange
+	choice        ranker.Choice
+	upstream      *registrar.Upstream
+	upstreamStart int64 // start time of the upstream's process, in Unix milliseconds
+	start         time.Time
+	pauses        uint64    // pauses of the process when the upstream was chosen
+	deadline      time.Time // sent to the upstream
+	ctx           context.Context
+	cancel        context.CancelCauseFunc
+	conn          *sender.Conn
+	metadata      ResponseMetadata
+	response      *http.Response
+	body          [][]byte // segments
+	complete      bool     // body is the complete body of the response
+	delivered     bool     // the response was passed on to the caller
+	abandoned     bool     // the exchange doesn't use it any more
+	errorStatus   int      // status of a response that may be delivered despite err
+	err           error
+	elapsed       time.Duration
+	done          atomic.Bool
+	reservedBytes int64        // memory for the body of the response
+	streamedBytes int64        // memory to pass on the response as it arrives
+	bodyRefs      atomic.Int32 // users of the bodies: the attempt and its exchange
 }
 
 func newAttempt(x *exchange, c ranker.Choice, now time.Time) *attempt {
@@ -71,6 +68,7 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(parent)
 	a.bodyRefs.Store(2)
+	x.call.Body.Retain()
 	a.upstream.BeginRequest()
 	return a
 }
@@ -83,6 +81,7 @@
 		if a.streamedBytes > 0 && !a.delivered {
 			a.closeConn()
 		}
+		a.x.call.Body.Release()
 		a.x.s.options.Memory.Release(a.reservedBytes)
 		a.x.s.options.Streams.Release(a.streamedBytes)
 	}
@@ -152,11 +151,7 @@
 		a.conn.Close()
 		return classifier.Expired.New("the deadline passed before dispatch")
 	}
-	r, err := a.buildRequest(now)
-	if err != nil {
-		a.conn.Close()
-		return err
-	}
+	r := a.buildRequest(now)
 	if x.s.options.Watchdog.Pauses() != a.pauses {
 		// The upstream may have left, and its rate limits may belong to other hosts now.
 		a.conn.Close()
@@ -168,23 +163,9 @@
 	return a.checkResponse()
 }
 
-// buildRequest returns the request to the upstream. It reads the body from the caller.
-func (a *attempt) buildRequest(now time.Time) (*sender.Request, error) {
+// buildRequest returns the request to the upstream.
+func (a *attempt) buildRequest(now time.Time) *sender.Request {
 	x, in := a.x, a.x.call.Request
-	body := x.call.Body
-	if in.Body != nil {
-		a.requestBodyRead = true
-		var b bytes.Buffer
-		reserved, complete, err := x.s.options.Memory.ReadBody(&b, in.Body, in.ContentLength, math.MaxInt64)
-		a.reservedBytes += reserved
-		if err != nil {
-			return nil, classifier.BadRequest.Wrap(err, "request body")
-		}
-		if !complete {
-			return nil, classifier.Overloaded.New("no memory is free for the request's body")
-		}
-		body = b.Bytes()
-	}
 	h := make(http.Header, len(in.Header)+2)
 	stripper.CopyEndToEnd(h, in.Header, nil)
 	delete(h, "Content-Length")
@@ -192,7 +173,7 @@
 		x.s.options.Dialect.SetAccount(h, x.accountName())
 	}
 	x.s.options.Dialect.SetUpstreamFields(h, a.upstream.ID(), a.deadline.Sub(now))
-	return &sender.Request{Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: h, Body: body}, nil
+	return &sender.Request{Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: h, Body: x.call.Body.Segments()}
 }
 
 // checkResponse returns an error unless the response may be delivered to the caller. It
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -175,10 +175,10 @@
 		return false
 	case mayHaveRun && !x.repeatable():
 		return false
-	case x.call.Request.Body != nil && a.requestBodyRead:
-		return false
 	case kind == classifier.Unreachable || a.err == errPausedBeforeSend:
 		return true // no byte of the request was sent
+	case x.call.Request.Body != nil:
+		return false // a long body is sent once
 	case x.sentAttempts >= x.route.AttemptLimit:
 		return false
 	}
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -206,6 +206,9 @@
 	if err := x.prepare(); err != nil {
 		return err
 	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
 	return x.serve()
 }
 
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -227,7 +227,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	a := acceptor.New(acceptor.Options{Handler: g.steer, Concurrent: g.steer.Repeatable})
+	a := acceptor.New(acceptor.Options{Handler: g.steer, Concurrent: g.steer.Repeatable, BodyDeadline: g.steer.BodyDeadline, Memory: g.memory})
 	go func() { _ = a.Serve(l) }()
 	g.dial = func() net.Conn {
 		c, err := net.Dial("tcp", l.Addr().String())
