Pass on a response that arrives before the whole request was sent

Cause: the sender read the response only after it had written the whole body. An upstream that responded early and closed its connection made the write fail, so its response was lost and the caller got 502; one that kept it open delayed the response until the deadline. A connection on which the response came first could be used again in the middle of a body.

Change: a body over 16 KiB is written while the response is awaited, and goes on being written while the response is passed on. If the response began before the upstream had acknowledged the whole request, the connection is reset afterwards and not used again. Closing a connection waits for its write, so that no segment is in use when its memory is released.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -59,7 +59,8 @@
 	dialTime    time.Duration // time to open the connection, an estimate of the round-trip time
 	idleTime    time.Duration // time in the pool before this request, 0 if new
 	used        bool
-	inFlight    bool // a request was sent and its response is not complete
+	inFlight    bool   // a request was sent and its response is not complete
+	write       *write // of a long body, nil for none
 	response    *http.Response
 }
 
@@ -268,10 +269,15 @@
 
 // Release returns the connection to the pool. The response must have been read to its
 // end. Release closes the connection instead if the upstream requested that or sent
-// bytes after the response, or if the pool is full.
+// bytes after the response, if the response began before the whole body was sent, or if the
+// pool is full.
 func (c *Conn) Release() {
+	if c.write != nil && c.write.early {
+		c.Close()
+		return
+	}
 	r := c.response
-	c.inFlight = false
+	c.inFlight, c.write = false, nil
 	if r == nil || r.Close || closeDelimited(r) || c.br.Buffered() > 0 {
 		c.Close()
 		return
@@ -307,6 +313,9 @@
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.conn.Close()
+	if c.write != nil {
+		<-c.write.done // the segments may be released now
+	}
 }
 
 // SetReadDeadline sets the deadline for reading the body of the response.
--- a/internal/connection/sender/write.go
+++ b/internal/connection/sender/write.go
@@ -4,19 +4,66 @@
 	"bytes"
 	"net"
 	"net/http"
+	"time"
+
+	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
 // maxCopiedBodyBytes is the size up to which a body is written together with its header, from
-// one buffer. A longer one is written from its segments.
+// one buffer. A longer one is written from its segments while the response is awaited.
 const maxCopiedBodyBytes = 16 << 10
 
-// roundTripLong sends a request with a long body and reads the header of its response.
+// write is the write of a request with a long body, which goes on while the response is read.
+type write struct {
+	done  chan struct{} // closed at the end
+	early bool          // the response began before the upstream had received the whole request
+	n     int64         // bytes written, valid after done
+	err   error         // valid after done
+}
+
+// startWrite writes a header and the segments of a body in another goroutine. That ends when
+// the connection is closed or interrupted.
+func (c *Conn) startWrite(head []byte, body [][]byte) *write {
+	w := &write{done: make(chan struct{})}
+	buffers := append(net.Buffers{head}, body...)
+	go func() {
+		defer close(w.done)
+		w.n, w.err = buffers.WriteTo(c.conn)
+	}()
+	return w
+}
+
+// ended reports whether the write has ended.
+func (w *write) ended() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// roundTripLong sends a request with a long body and reads the header of its response. An
+// upstream may respond before it has read the body, and not read the rest.
 func (c *Conn) roundTripLong(r *Request, reused bool) (*http.Response, error) {
 	var head bytes.Buffer
 	writeRequest(&head, r)
-	buffers := append(net.Buffers{head.Bytes()}, r.Body...)
-	if n, err := buffers.WriteTo(c.conn); err != nil {
-		return nil, c.writeError(n, err)
+	start := time.Now()
+	w := c.startWrite(head.Bytes(), r.Body)
+	c.write = w
+	response, err := c.readMatching(r, reused)
+	if err == nil {
+		w.early = !w.ended() || w.err != nil || peeker.HasUnacknowledged(c.conn)
+		return response, nil
+	}
+	if classifier.Of(err) == classifier.Failed {
+		c.detectDrop(err, start)
+	}
+	c.Interrupt()
+	<-w.done
+	if w.err != nil && w.n == 0 {
+		return nil, c.writeError(0, w.err)
 	}
-	return c.readMatching(r, reused)
+	return nil, err
 }
--- a/internal/request/steerer/body_test.go
+++ b/internal/request/steerer/body_test.go
@@ -159,6 +159,7 @@
 		"served":      {discardAndRespond, false, "", 200, 1, 0},
 		"dropped":     {dropConnection, false, "", 502, 1, 0},
 		"refused":     {func(u *upstream) http.HandlerFunc { return respondStatus(u, 503, "Not-Run") }, false, "", 503, 1, 0},
+		"rejected":    {func(u *upstream) http.HandlerFunc { return respondStatus(u, 413, "Signed") }, false, "", 413, 1, 0},
 		"not read":    {nil, false, "Patience: 400ms\r\n", 504, 1, 0},
 		"unreachable": {discardAndRespond, true, "", 200, 0, 1},
 	} {
