Keep a refusal for callers who read after sending

Cause: a connection was closed 0.5 s after a refusal, and reset if the caller still sent its body. A caller who reads the response only after it has sent everything lost it, or took the failed write for a connection that was closed without a response.

Change: what a refused caller still sends of its body is discarded until it stops for 0.5 s, the deadline of its request is over, or 30 s have passed. A shutdown doesn't wait for that.

Test: TestRefusalReachesCallerWhoSendsFirst fails before (broken pipe).

--- a/internal/connection/acceptor/body_test.go
+++ b/internal/connection/acceptor/body_test.go
@@ -37,12 +37,17 @@
 }
 
 func serveBodies(t *testing.T, bodyBytes int64, bodyTime time.Duration) (*acceptor.Acceptor, *net.TCPListener, net.Conn) {
+	t.Helper()
+	return serveWith(t, bodyHandler{}, bodyBytes, bodyTime)
+}
+
+func serveWith(t *testing.T, h acceptor.Handler, bodyBytes int64, bodyTime time.Duration) (*acceptor.Acceptor, *net.TCPListener, net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	a := acceptor.New(acceptor.Options{
-		Handler: bodyHandler{}, Limits: func() acceptor.Limits { return acceptor.Limits{BodyBytes: bodyBytes} },
+		Handler: h, Limits: func() acceptor.Limits { return acceptor.Limits{BodyBytes: bodyBytes} },
 		BodyDeadline: func(_ *http.Request, arrived time.Time) time.Time { return arrived.Add(bodyTime) },
 	})
 	go func() { _ = a.Serve(l) }()
@@ -98,3 +103,24 @@
 		})
 	}
 }
+
+// refusingHandler refuses all requests without reading their bodies.
+type refusingHandler struct{}
+
+// Serve implements acceptor.Handler.
+func (refusingHandler) Serve(_ context.Context, _ *acceptor.Call, w *acceptor.ResponseWriter) {
+	w.Refuse(http.StatusServiceUnavailable, nil)
+}
+
+// Guards against a refusal that is lost to a caller who reads it only after its whole body was
+// sent: the connection was reset 0.5 s after the refusal.
+func TestRefusalReachesCallerWhoSendsFirst(t *testing.T) {
+	_, _, c := serveWith(t, refusingHandler{}, 4<<20, 20*time.Second)
+	send(t, c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000000\r\n\r\n")
+	for range 30 {
+		send(t, c, strings.Repeat("x", 100_000))
+		time.Sleep(50 * time.Millisecond)
+	}
+	r, _ := readResponse(t, bufio.NewReader(c))
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+}
--- a/internal/connection/acceptor/close.go
+++ b/internal/connection/acceptor/close.go
@@ -76,16 +76,26 @@
 }
 
 // linger half-closes the connection after its last response and discards what the caller
-// still sends, for lingerTimeout and until the caller has acknowledged the response.
+// still sends, for lingerTimeout, until the caller has acknowledged the response, and while a
+// refused caller goes on sending its body: it may read the response only after that.
 func (c *conn) linger() {
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
 	for end := time.Now().Add(maxLingerTime); time.Now().Before(end); {
 		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, err := io.Copy(io.Discard, c.raw)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !peeker.HasUnacknowledged(c.raw) {
+		n, err := io.Copy(io.Discard, c.raw)
+		sends := n > 0 && c.sendsBody()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !sends && !peeker.HasUnacknowledged(c.raw) {
 			return
 		}
 	}
 }
+
+// sendsBody reports whether the caller may still send a body that is not read. It is false in a
+// shutdown, which doesn't wait for that.
+func (c *conn) sendsBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body != nil && !c.body.isAtEOF() && time.Now().Before(c.body.deadline) && !c.acceptor.shuttingDown.Load()
+}
