Bound the receive buffers of callers' connections

Cause: the kernel grows the receive buffer of a connection to up to 32 MB while the host reads fast, and fills it when the host doesn't read: 21.7 MB from one caller, in 5 of 5 runs more than 0.7 MB. These bytes count toward the memory of the machine, and no account of the host covers them. A host that is short of processor time leaves them unread.

Change: the listener for callers has receive buffers of 256 KiB, which accepted connections inherit and the kernel doubles.

Test: TestUnreadBytesOfCallerAreBounded fails in 5 of 5 runs before.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -279,7 +280,10 @@
 }
 
 func listenCallers(address string) (acceptor.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return setReceiveBuffer(raw, callerReceiveBytes) // accepted connections inherit it
+	}}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/conductor/limits.go
+++ b/internal/process/conductor/limits.go
@@ -71,6 +71,10 @@
 	// read. The kernel doubles the size for its own data, so that as many bytes of a response
 	// fit. Those of 120 kB, the usual size of a download, don't wait for a round trip.
 	upstreamReceiveBytes = 128 << 10
+	// callerReceiveBytes is the size of the receive buffer of a connection of a caller. Received
+	// bytes count toward the memory of the machine, and a host that is short of processor time
+	// leaves them unread. Without a bound the kernel grows the buffer to up to 32 MB.
+	callerReceiveBytes = 256 << 10
 	// streamMemoryFraction is the fraction of the memory limit that responses may use that are
 	// passed on as they arrive: the receive buffers of their connections, and a copy buffer.
 	streamMemoryFraction = 0.2
@@ -131,17 +135,24 @@
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: ackTimeout, Interval: ackTimeout, Count: 2},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failure error
-			err := raw.Control(func(fd uintptr) {
-				failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
-				if failure == nil && receiveBytes > 0 {
-					failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
-				}
-			})
-			if err != nil {
-				return err
+			err := setSocketOption(raw, syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
+			if err == nil && receiveBytes > 0 {
+				err = setReceiveBuffer(raw, receiveBytes)
 			}
-			return failure
+			return err
 		},
 	}
 }
+
+func setReceiveBuffer(raw syscall.RawConn, bytes int) error {
+	return setSocketOption(raw, syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+}
+
+func setSocketOption(raw syscall.RawConn, level, option, value int) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) { failure = syscall.SetsockoptInt(int(fd), level, option, value) })
+	if err != nil {
+		return err
+	}
+	return failure
+}
--- a/internal/process/conductor/listener_internal_test.go
+++ b/internal/process/conductor/listener_internal_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
@@ -49,3 +50,28 @@
 	cancel()
 	assert.NilError(t, g.Wait())
 }
+
+// Guards against a caller whose unread bytes fill the memory of the machine: the kernel may grow
+// a receive buffer to 32 MB.
+func TestUnreadBytesOfCallerAreBounded(t *testing.T) {
+	l, err := listenCallers("127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	conn, err := l.Accept()
+	assert.NilError(t, err)
+	defer conn.Close()
+	go func() { _, _ = caller.Write(make([]byte, 256<<20)) }()
+	// The kernel grows the buffer while the host reads.
+	_, err = io.CopyN(io.Discard, conn, 64<<20)
+	assert.NilError(t, err)
+	time.Sleep(300 * time.Millisecond)
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	unread := 0
+	assert.NilError(t, raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }))
+	assert.NilError(t, err)
+	assert.Assert(t, unread > 0 && unread <= 2*callerReceiveBytes, "%d bytes are unread", unread)
+}
