Leave memory to short requests beside long responses

Cause: responses of up to 1 MiB are held until their callers have read them, and could take all memory for bodies: 55 callers who read slowly made a host of 184 MB refuse every request with a body.

Change: the part of a response over 64 KiB is held only while a quarter of the memory stays free; without memory the response is passed on as it arrives, as before.

Test: TestLongSegmentsLeaveMemory.

--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -75,14 +75,19 @@
 }
 
 // ReadSegments reads a body as ReadBody does, but into segments that are not copied when the
-// body grows, so that it takes no more memory than is reserved.
-func (r *Reserver) ReadSegments(body io.Reader, length, limit int64) (segments [][]byte, reserved int64, complete bool, err error) {
+// body grows, so that it takes no more memory than is reserved. A body over 64 KiB leaves a
+// fraction of the memory to others.
+func (r *Reserver) ReadSegments(body io.Reader, length, limit int64, leave float64) (segments [][]byte, reserved int64, complete bool, err error) {
 	n := int64(reservationBytes)
 	if length > 0 && length <= limit {
 		n = length + 1 // to read the end of the body without another segment
 	}
 	for read := int64(0); read <= limit; {
-		if !r.TryAcquire(n) {
+		fraction := leave
+		if read == 0 && n <= reservationBytes+1 {
+			fraction = 0
+		}
+		if !r.TryAcquireLeaving(n, fraction) {
 			return segments, reserved, false, nil
 		}
 		reserved += n
--- a/internal/process/reserver/reserver_test.go
+++ b/internal/process/reserver/reserver_test.go
@@ -73,7 +73,7 @@
 			assert.Assert(t, int64(b.Len()) <= reserved)
 
 			r = reserver.New(c.memory)
-			segments, reserved, complete, err := r.ReadSegments(c.body(), c.length, c.limit)
+			segments, reserved, complete, err := r.ReadSegments(c.body(), c.length, c.limit, 0)
 			assert.NilError(t, err)
 			assert.Equal(t, complete, c.complete)
 			assert.Equal(t, len(bytes.Join(segments, nil)), c.size)
@@ -89,7 +89,7 @@
 	brokenBody := func() io.Reader {
 		return io.MultiReader(strings.NewReader("ab"), iotest.ErrReader(broken))
 	}
-	_, _, complete, err := reserver.New(0).ReadSegments(brokenBody(), -1, 1<<20)
+	_, _, complete, err := reserver.New(0).ReadSegments(brokenBody(), -1, 1<<20, 0)
 	assert.ErrorIs(t, err, broken)
 	assert.Assert(t, !complete)
 	var b bytes.Buffer
@@ -97,3 +97,29 @@
 	assert.ErrorIs(t, err, broken)
 	assert.Assert(t, !complete)
 }
+
+// Guards against long responses, which slow callers hold, that leave no memory for the bodies of
+// other requests, and against short responses that are not held in the rest of the memory.
+func TestLongSegmentsLeaveMemory(t *testing.T) {
+	for name, c := range map[string]struct {
+		size     int
+		length   int64
+		complete bool
+	}{
+		"short":                  {1000, 1000, true},
+		"short, no length":       {1000, -1, true},
+		"64 KiB":                 {64 << 10, 64 << 10, true},
+		"longer":                 {64<<10 + 1, 64<<10 + 1, false},
+		"longer, no length":      {64<<10 + 1, -1, false},
+		"much longer, no length": {1 << 19, -1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := reserver.New(1 << 20)
+			assert.Assert(t, r.TryAcquire(1<<20*3/4))
+			_, _, complete, err := r.ReadSegments(strings.NewReader(strings.Repeat("x", c.size)), c.length, 1<<20, 0.25)
+			assert.NilError(t, err)
+			assert.Equal(t, complete, c.complete)
+			assert.Assert(t, r.Used() <= 1<<20*3/4+64<<10+1)
+		})
+	}
+}
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -24,6 +24,10 @@
 	// caller gets its first byte, so that another attempt can replace a truncated one.
 	maxBufferedBodyBytes = 1 << 20
 	streamBufferBytes    = 32 << 10
+	// longResponseReserve is the fraction of the memory that responses over 64 KiB leave free, so
+	// that callers who read slowly don't make others' requests be refused. Without memory a response
+	// is passed on as it arrives.
+	longResponseReserve = 0.25
 	// streamStallTimeout is the time that a streamed response may make no progress.
 	streamStallTimeout = 10 * time.Second
 )
@@ -221,7 +225,7 @@
 func (a *attempt) readBody() error {
 	stop := context.AfterFunc(a.ctx, a.conn.Interrupt)
 	defer stop()
-	body, reserved, complete, err := a.x.s.options.Memory.ReadSegments(a.response.Body, a.response.ContentLength, maxBufferedBodyBytes)
+	body, reserved, complete, err := a.x.s.options.Memory.ReadSegments(a.response.Body, a.response.ContentLength, maxBufferedBodyBytes, longResponseReserve)
 	a.reservedBytes += reserved
 	a.body, a.complete = body, complete
 	switch {
