--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -200,7 +201,7 @@
 		Memory: memory, Streams: streams, StreamBytes: upstreamReceiveBytes, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
 	})
 	c.acceptor = acceptor.New(acceptor.Options{
-		Handler: requests, Limits: c.acceptorLimits, Concurrent: requests.Repeatable, Memory: memory, Guard: c.recoverer.Do,
+		Handler: requests, Limits: c.acceptorLimits, Concurrent: requests.Repeatable, BodyDeadline: requests.BodyDeadline, Memory: memory, Guard: c.recoverer.Do,
 		AcceptFailed: c.logAcceptError,
 	})
 	c.followers = c.newFollowers()
@@ -285,7 +286,10 @@
 }
 
 func listenCallers(address string) (acceptor.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return setReceiveBuffer(raw, callerReceiveBytes) // accepted connections inherit it
+	}}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -246,7 +246,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(g.t, err)
 	g.t.Cleanup(func() { _ = l.Close() })
-	a := acceptor.New(acceptor.Options{Handler: g.steer, Concurrent: g.steer.Repeatable})
+	a := acceptor.New(acceptor.Options{Handler: g.steer, Concurrent: g.steer.Repeatable, BodyDeadline: g.steer.BodyDeadline, Memory: g.memory})
 	go func() { _ = a.Serve(l) }()
 	g.dial = func() net.Conn {
 		c, err := net.Dial("tcp", l.Addr().String())
