Count no latency for requests that are refused before their service is known

Cause: a request without a valid key is refused before a service is chosen, and its latency counted in a series with an empty name of the service.

--- a/internal/request/steerer/accounts_test.go
+++ b/internal/request/steerer/accounts_test.go
@@ -11,6 +11,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 	"dandeliontrack.example/dandeliontrack/internal/request/ranker"
@@ -76,12 +77,13 @@
 	for zone, u := range map[string]*upstream{"z": g.first, "zf": g.second} {
 		reg.Put(registrar.Registration{ID: u.id, Service: "s", Address: u.address, Zone: zone, Slots: 4, RowVersion: sequencer.New(0, 1)}, time.Now(), true)
 	}
+	g.meter = meter.New()
 	g.serve(steerer.Options{
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, ConfigurationCurrent: current, Quotas: &limitedQuotas{1},
 		Regions: []string{"r", "far"}, Plan: twoRegionPlanner{}, Upstreams: reg, Ranker: ranker.New("r"),
 		ColdRate: func(*registrar.Upstream, float64) float64 { return 100 },
 		Budget:   budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }, time.Now().Add(-time.Minute)),
-		Log:      logger.New(g.log, 0, "h"),
+		Log:      logger.New(g.log, 0, "h"), Meter: g.meter,
 	})
 	return g, seen
 }
@@ -93,7 +95,8 @@
 
 // Guards against a request that is served without a key, or refused with one, against a refusal
 // with 401 of a key that may be new, against the key or the caller's own account at an upstream
-// or in a log, and against an upstream outside the allowed regions.
+// or in a log, against an upstream outside the allowed regions, and against latencies of refused
+// requests that count for no service.
 func TestAccountsOfRequests(t *testing.T) {
 	const spoof = "Account: spoof\r\nAccount: more\r\n"
 	type want struct {
@@ -156,6 +159,7 @@
 				assert.Equal(t, len(h["Account"]) > 1, c.unbound, "%v", h)
 				assert.Equal(t, h.Get("Key") != "", c.unbound && c.key != "", "%v", h)
 			}
+			assert.Equal(t, g.meter.Latency(meter.Series{Class: "lookup"}).TotalCount(), int64(0))
 			if c.key != "" {
 				assert.Assert(t, !strings.Contains(strings.Join(g.log.lines, ""), c.key))
 			}
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -362,7 +362,9 @@
 	if x.route != nil {
 		entry.Str("route", x.route.Name).Str("class", x.route.Class.String()).Str("service", x.service).
 			Uint64("version", x.table.Version()).Uint64("object", x.object)
-		o.Meter.ObserveLatency(meter.Series{Service: x.service, Class: x.route.Class.String()}, took)
+		if x.service != "" { // otherwise it was refused before its service was chosen
+			o.Meter.ObserveLatency(meter.Series{Service: x.service, Class: x.route.Class.String()}, took)
+		}
 		if x.account != nil {
 			entry.Str("account", x.account.Name).Int("urgency", x.urgency())
 		}
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -178,6 +178,7 @@
 	memory   *reserver.Reserver
 	watchdog *watchdog
 	log      *logLines
+	meter    *meter.Meter
 	remove   func(id string)
 	register func(registrar.Registration)
 	group    func() *registrar.Group // of the upstreams that may get new requests
