--- a/internal/process/logger/event.go
+++ b/internal/process/logger/event.go
@@ -44,6 +44,7 @@
 	RequestFailed          Event = 601
 	RequestServed          Event = 602
 	RequestRefused         Event = 603
+	AdmissionChanged       Event = 604
 	StoreFailed            Event = 701
 	StoreRecovered         Event = 702
 	StoreRestored          Event = 703
@@ -87,6 +88,7 @@
 	RequestFailed:          {zerolog.WarnLevel, "request failed", "A request ended with an error after it may have run; attempts, where given, lists the attempts made."},
 	RequestServed:          {zerolog.InfoLevel, "request served", "A request got an upstream's response; attempts lists where it was sent, what was expected there, and the result."},
 	RequestRefused:         {zerolog.WarnLevel, "request refused", "A request got an error response of a kind that guarantees it did not run; kind, room and attempts give the reason, and cause, where given, says how the connection of its caller ended."},
+	AdmissionChanged:       {zerolog.InfoLevel, "admission changed", "An urgency of a service opened, began to lose its place in the queues of upstreams (short), or began to be refused (closed), because more urgent requests lack capacity; at most one line for each urgency of a service in a second."},
 	StoreFailed:            {zerolog.WarnLevel, "store failed", "An operation of the table service or object store failed; repeated failures are not logged again. On `entry`, the error tells whether the connection was in use before, and how long it was idle."},
 	StoreRecovered:         {zerolog.InfoLevel, "store recovered", "The store responds again; failures, where given, is the number of calls in a row that failed."},
 	StoreRestored:          {zerolog.WarnLevel, "store restored", "The store came back from an older copy; before and after are the versions of the table, each an era and a number. Rows that the store lacks (missing) stay in effect for 2 s. Registrations that were deleted and that the copy may have brought back (returned) have no effect for 6 s, unless they are written again. Up to 8 keys of each are listed."},
