Admit requests by priority

Cause: the steerer refused a request only if no upstream could respond in time, whatever its priority.

The controller decides after the account is identified. A less urgent request may wait for a shorter time in the queues of upstreams while the service is short of capacity. Choices of upstreams, sheds and measured waits are fed back. Retry-After follows the order of priority and age. The log entry of a request states its urgency and the decision. The urgencies of a service are those of its routes and of the accounts.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"dandeliontrack.example/dandeliontrack/internal/admission/controller"
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/connection/linker"
 	"dandeliontrack.example/dandeliontrack/internal/connection/listener"
@@ -120,6 +122,7 @@
 	budget    *budgeter.Budgeter
 	throttler *throttler.Throttler
 	ranker    *ranker.Ranker
+	admission *controller.Controller
 	sender    *sender.Sender
 	acceptor  *acceptor.Acceptor
 	followers map[string]*follower.Follower
@@ -180,6 +183,8 @@
 	c.plan = apportioner.New(slices.Index(c.regions, s.Region), s.maxShiftPerSecond())
 	c.budget = budgeter.New(s.RetryBudget, c.fleetSize, now)
 	c.ranker = ranker.New(s.Region)
+	c.admission = controller.New(rand.Uint64(), now)
+	c.meter.SetAdmissionLevels(c.admissionLevels)
 	c.sender = sender.New(sender.Options{
 		Dial: newDialer(upstreamAckTimeout, upstreamReceiveBytes).DialContext, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout, Match: c.matchResponse,
 	})
@@ -189,7 +194,7 @@
 	c.meter.SetFunc(meter.BodyBytes, memory.Used)
 	c.meter.SetFunc(meter.StreamBytes, streams.Used)
 	requests := steerer.New(steerer.Options{
-		Dialect: p, Table: c.table.Load, ConfigurationCurrent: c.configurationCurrent, Regions: c.regions, Plan: c, ColdRate: c.coldRate, RateShare: c.rateShare,
+		Dialect: p, Table: c.table.Load, ConfigurationCurrent: c.configurationCurrent, Regions: c.regions, Plan: c, ColdRate: c.coldRate, RateShare: c.rateShare, Admission: c.admission,
 		Upstreams: c.registrar, Ranker: c.ranker, Budget: c.budget, Sender: c.sender,
 		Memory: memory, Streams: streams, StreamBytes: upstreamReceiveBytes, Guard: c.recoverer.Do, Watchdog: c, Log: log, Meter: c.meter,
 	})
--- a/internal/process/conductor/fleet.go
+++ b/internal/process/conductor/fleet.go
@@ -258,6 +258,7 @@
 // tickLoop periodically updates the demand, the readers and the traffic plans.
 func (c *Conductor) tickLoop(ctx context.Context) {
 	viewed := time.Now()
+	var admissionLog admissionLog
 	for ctx.Err() == nil {
 		now := time.Now()
 		c.surveyor.Tick(now, func(service string) time.Duration {
@@ -283,6 +284,7 @@
 		for _, u := range c.registrar.ExpireRateLimits(now) {
 			c.log.Event(logger.RateLimitChanged).Str("upstream", u.ID()).Str("service", u.Service()).Bool("limited", false).Send()
 		}
+		admissionLog.write(c.log, c.admission.Report(now), now)
 		c.ready()
 		sleeper.Sleep(ctx, tickInterval)
 	}
--- a/internal/process/conductor/rows.go
+++ b/internal/process/conductor/rows.go
@@ -117,6 +117,7 @@
 		return
 	}
 	c.installedValue = r.Value
+	c.admission.SetUrgencies(t.Urgencies())
 	c.table.Store(t)
 	c.gossiper.SetVersion(t.Version())
 	for _, r := range t.UnknownClasses() {
--- a/internal/process/conductor/rows_internal_test.go
+++ b/internal/process/conductor/rows_internal_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/admission/controller"
 	"dandeliontrack.example/dandeliontrack/internal/connection/framer"
 	"dandeliontrack.example/dandeliontrack/internal/process/follower"
 	"dandeliontrack.example/dandeliontrack/internal/process/gossiper"
@@ -54,7 +55,7 @@
 
 func newRowConductor() (c *Conductor, log *bytes.Buffer) {
 	log = new(bytes.Buffer)
-	c = &Conductor{platform: textPlatform{}, registrar: registrar.New(map[string]string{"a1": "a"}), log: logger.New(log, zerolog.DebugLevel, "h")}
+	c = &Conductor{platform: textPlatform{}, admission: controller.New(1, time.Now()), registrar: registrar.New(map[string]string{"a1": "a"}), log: logger.New(log, zerolog.DebugLevel, "h")}
 	c.recoverer = recoverer.New(c.log, meter.New())
 	return c, log
 }
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -71,6 +70,7 @@
 	callerDeadline time.Time // when the caller times out, at or after deadline
 	streamDeadline time.Time // when a streamed response is aborted
 
+	admission     admission
 	attempts      []*attempt
 	tried         []*registrar.Upstream
 	sentAttempts  int           // attempts that may have sent a byte
@@ -98,6 +98,7 @@
 		case a := <-results:
 			pending--
 			if a.err == nil {
+				x.observeAttempt(a, time.Now())
 				x.abandonAttempts(a)
 				return x.deliverResponse(a)
 			}
@@ -133,6 +134,7 @@
 // retry starts another attempt after a failed one, or returns the error that prevents it.
 func (x *exchange) retry(a *attempt, results chan<- *attempt) error {
 	x.recordFailure(a)
+	x.observeAttempt(a, time.Now())
 	if !x.allowRetry(a) {
 		return a.err
 	}
@@ -220,6 +222,7 @@
 		return errNotSent
 	}
 	choice := x.chooseUpstream(now, remaining)
+	x.observeChoice(&choice, now)
 	if choice.Upstream == nil {
 		x.noUpstream = choice
 		return classifier.Overloaded.New("no upstream of service %s has capacity before the deadline", x.service)
@@ -244,7 +247,7 @@
 	weights := o.Plan.RegionWeights(x.service, x.route.Class)
 	q := ranker.Query{
 		Group: o.Upstreams.Group(x.service), Route: x.route.Name, Regions: o.Regions, Weights: weights,
-		Object: x.object, RandomKey: x.randomKey, Remaining: remaining, LatencyTarget: x.route.LatencyTarget, Tried: x.tried, ColdRate: x.coldRate, RateShare: o.RateShare, AllowCrossRegion: o.Plan.AllowCrossRegion,
+		Object: x.object, RandomKey: x.randomKey, Remaining: remaining, LatencyTarget: x.maxQueueWait(), Tried: x.tried, ColdRate: x.coldRate, RateShare: o.RateShare, AllowCrossRegion: o.Plan.AllowCrossRegion,
 	}
 	if q.Group == nil {
 		return ranker.Choice{UntilCapacity: maxRetryAfter}
@@ -333,12 +336,10 @@
 		x.status = http.StatusServiceUnavailable
 	}
 	if x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests {
-		wait := min(max(x.noUpstream.UntilCapacity, minRetryAfter), maxRetryAfter)
-		wait += time.Duration(rand.Float64() * retryAfterJitter * float64(wait))
-		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(x.retryAfter().Seconds(), 'f', 3, 64))
 	}
 	x.response.Refuse(x.status, h)
-	x.s.options.Meter.CountRefusal(kind.String())
+	x.countRefusal(kind)
 }
 
 // logRequest updates the metrics and writes one log entry with all that determined the
@@ -366,6 +367,7 @@
 		if x.account != nil {
 			entry.Str("account", x.account.Name)
 		}
+		x.logAdmission(entry)
 	}
 	if err != nil {
 		e := x.noUpstream.Excluded
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dandeliontrack.example/dandeliontrack/internal/admission/recognizer"
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
@@ -97,15 +98,16 @@
 	AwaitConfirmed(ctx context.Context)
 }
 
-// Options configure a Steerer. ConfigurationCurrent, Quotas, Memory, Streams, Guard, Watchdog, Log and Meter are optional.
+// Options configure a Steerer. ConfigurationCurrent, Quotas, Admission, Memory, Streams, Guard, Watchdog, Log and Meter are optional.
 type Options struct {
 	Dialect Dialect
 	Table   func() *matcher.Table // nil without a configuration
 	// ConfigurationCurrent reports whether Table was confirmed to be the newest a short time ago.
 	// Otherwise a key that Table doesn't hold may be new. Nil means that it always is.
 	ConfigurationCurrent func() bool
-	Quotas               Quotas   // nil means that accounts have no quota
-	Regions              []string // in the order of the plan's weights
+	Quotas               Quotas    // nil means that accounts have no quota
+	Admission            Admission // nil means that all requests are admitted
+	Regions              []string  // in the order of the plan's weights
 	Plan                 Planner
 	// ColdRate returns how many requests per second this host may send to a cold upstream
 	// with a capacity of perSecond requests per second.
@@ -144,6 +146,7 @@
 type Steerer struct {
 	options  Options
 	splitter splitter
+	returns  recognizer.Recognizer
 }
 
 // New returns a Steerer.
@@ -206,6 +209,9 @@
 	if err := x.prepare(); err != nil {
 		return err
 	}
+	if err := x.admit(); err != nil {
+		return err
+	}
 	return x.serve()
 }
 
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -202,6 +202,30 @@
 	return shortest
 }
 
+// Urgencies returns the urgencies of the requests that each service may get, in ascending order.
+func (t *Table) Urgencies() map[string][]int {
+	out := make(map[string][]int)
+	for _, list := range t.hosts {
+		for _, r := range list {
+			for _, b := range r.Backends {
+				out[b.Service] = append(out[b.Service], r.Priority)
+			}
+		}
+	}
+	for service, urgencies := range out {
+		if t.accounts != nil {
+			for _, a := range t.accounts.Accounts() {
+				if a.HasUrgency {
+					urgencies = append(urgencies, a.Urgency)
+				}
+			}
+		}
+		slices.Sort(urgencies)
+		out[service] = slices.Compact(urgencies)
+	}
+	return out
+}
+
 // Match returns the route of the host with the longest prefix of the path, or nil if there
 // is none. The host may be spelled as in a request, with or without a port. One that is
 // malformed has no route.
