--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dandeliontrack.example/dandeliontrack/internal/admission/controller"
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
@@ -204,9 +205,10 @@
 }
 
 // allowHedge reports whether a second upstream may get the request while the first attempt
-// is in flight, and counts it in the budget if so.
+// is in flight, and counts it in the budget if so. None of a request that makes way for more
+// urgent ones may, because the service is short of capacity.
 func (x *exchange) allowHedge() bool {
-	return x.sentAttempts < x.route.AttemptLimit && len(x.attempts) < maxUpstreamsPerRequest && x.s.options.Budget.AllowExtraAttempt(x.service, time.Now())
+	return x.admission.decision.Reason == controller.Open && x.sentAttempts < x.route.AttemptLimit && len(x.attempts) < maxUpstreamsPerRequest && x.s.options.Budget.AllowExtraAttempt(x.service, time.Now())
 }
 
 // startAttempt chooses an upstream and starts an attempt there.
