--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -12,7 +12,7 @@
 // threshold: levels of less urgent requests are closed one after the other while more urgent
 // requests are refused or queue for long, and opened again when they are not. A level that closes
 // first loses its place in the queues of upstreams and then a growing part of its requests.
-// Docs/design/admission.md gives the reasons.
+// The page docs/design/admission.md gives the reasons.
 package controller
 
 import (
@@ -95,7 +95,8 @@
 func (c *Controller) SetUrgencies(byService map[string][]int) {
 	old := *c.services.Load()
 	services := make(map[string]*service, len(byService))
-	for name, urgencies := range byService {
+	for _, name := range slices.Sorted(maps.Keys(byService)) {
+		urgencies := byService[name]
 		if s := old[name]; s != nil && slices.Equal(s.urgencies, urgencies) {
 			services[name] = s
 			continue
