--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dandeliontrack.example/dandeliontrack/internal/admission/controller"
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/meter"
@@ -71,6 +71,7 @@
 	callerDeadline time.Time // when the caller times out, at or after deadline
 	streamDeadline time.Time // when a streamed response is aborted
 
+	admission     admission
 	attempts      []*attempt
 	tried         []*registrar.Upstream
 	sentAttempts  int           // attempts that may have sent a byte
@@ -98,6 +99,7 @@
 		case a := <-results:
 			pending--
 			if a.err == nil {
+				x.observeAttempt(a, time.Now())
 				x.abandonAttempts(a)
 				return x.deliverResponse(a)
 			}
@@ -133,6 +135,7 @@
 // retry starts another attempt after a failed one, or returns the error that prevents it.
 func (x *exchange) retry(a *attempt, results chan<- *attempt) error {
 	x.recordFailure(a)
+	x.observeAttempt(a, time.Now())
 	if !x.allowRetry(a) {
 		return a.err
 	}
@@ -202,9 +205,10 @@
 }
 
 // allowHedge reports whether a second upstream may get the request while the first attempt
-// is in flight, and counts it in the budget if so.
+// is in flight, and counts it in the budget if so. None of a request that makes way for more
+// urgent ones may, because the service is short of capacity.
 func (x *exchange) allowHedge() bool {
-	return x.sentAttempts < x.route.AttemptLimit && len(x.attempts) < maxUpstreamsPerRequest && x.s.options.Budget.AllowExtraAttempt(x.service, time.Now())
+	return x.admission.decision.Reason == controller.Open && x.sentAttempts < x.route.AttemptLimit && len(x.attempts) < maxUpstreamsPerRequest && x.s.options.Budget.AllowExtraAttempt(x.service, time.Now())
 }
 
 // startAttempt chooses an upstream and starts an attempt there.
@@ -220,6 +224,7 @@
 		return errNotSent
 	}
 	choice := x.chooseUpstream(now, remaining)
+	x.observeChoice(&choice, now)
 	if choice.Upstream == nil {
 		x.noUpstream = choice
 		return classifier.Overloaded.New("no upstream of service %s has capacity before the deadline", x.service)
@@ -244,7 +249,7 @@
 	weights := o.Plan.RegionWeights(x.service, x.route.Class)
 	q := ranker.Query{
 		Group: o.Upstreams.Group(x.service), Route: x.route.Name, Regions: o.Regions, Weights: weights,
-		Object: x.object, RandomKey: x.randomKey, Remaining: remaining, LatencyTarget: x.route.LatencyTarget, Tried: x.tried, ColdRate: x.coldRate, RateShare: o.RateShare, AllowCrossRegion: o.Plan.AllowCrossRegion,
+		Object: x.object, RandomKey: x.randomKey, Remaining: remaining, LatencyTarget: x.maxQueueWait(), Tried: x.tried, ColdRate: x.coldRate, RateShare: o.RateShare, AllowCrossRegion: o.Plan.AllowCrossRegion,
 	}
 	if q.Group == nil {
 		return ranker.Choice{UntilCapacity: maxRetryAfter}
@@ -333,12 +338,10 @@
 		x.status = http.StatusServiceUnavailable
 	}
 	if x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests {
-		wait := min(max(x.noUpstream.UntilCapacity, minRetryAfter), maxRetryAfter)
-		wait += time.Duration(rand.Float64() * retryAfterJitter * float64(wait))
-		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(x.retryAfter().Seconds(), 'f', 3, 64))
 	}
 	x.response.Refuse(x.status, h)
-	x.s.options.Meter.CountRefusal(kind.String())
+	x.countRefusal(kind)
 }
 
 // logRequest updates the metrics and writes one log entry with all that determined the
@@ -368,6 +371,7 @@
 		if x.account != nil {
 			entry.Str("account", x.account.Name).Int("urgency", x.urgency())
 		}
+		x.logAdmission(entry)
 	}
 	if err != nil {
 		e := x.noUpstream.Excluded
