Tell rises of the demand from random ones, and freeze parts while hosts don't respond

Cause: single requests of accounts with small quotas counted as rises, so that hosts exchanged reports all the time (11 kB/s per host with 81 accounts at 0.6 of their quotas), and the baseline was too high. Parts of hosts that were cut off shrank when the account left and came back near its quota.

The baseline is the mean over the interval, rises are compared with its random variation, and parts stay as they are while some hosts don't respond.

--- a/internal/quota/limiter/account.go
+++ b/internal/quota/limiter/account.go
@@ -19,8 +19,8 @@
 	// burstFraction and burstSlack are the fractions of (PerSecond x Window + Burst) x (1 + Excess)
 	// and of Slack up to which bursts are admitted, and maxFraction and maxSlack those up to which
 	// any request is. The rest is for the time that messages take.
-	burstFraction, burstSlack = 0.82, 0.4
-	maxFraction, maxSlack     = 0.88, 0.5
+	burstFraction, burstSlack = 0.78, 0.35
+	maxFraction, maxSlack     = 0.84, 0.4
 	// minWindowPart is the fraction of its part of the limit of the window that a host may always
 	// use, whatever the others report.
 	minWindowPart = 0.5
@@ -32,7 +32,7 @@
 	// known.
 	assumedCarriers = 24
 	// baselineAverage is the time constant of the average with which the demand is compared.
-	baselineAverage = 6 * time.Second
+	baselineAverage = 4 * time.Second
 	// slots is the number of parts of the window in which requests are counted.
 	slots = 20
 	// refreshInterval is how often the sums over the other hosts are computed.
@@ -58,16 +58,22 @@
 	// maxReserved bounds the part that is reserved for silent hosts.
 	maxReserved = 0.9
 	// nearTime is how long an account counts as near its quota.
-	nearTime = 1500 * time.Millisecond
+	nearTime = 800 * time.Millisecond
 	// nearDistance is how far below its quota an account is near it, as a fraction. It is smaller
 	// for accounts with less than distanceRate requests per second: their use varies more, and the
 	// slack is larger than what they can admit while messages are under way.
 	nearDistance, distanceRate = 0.2, 20
-	// riseFactor, riseDeviations and minRise state how far the demand at a host rises above its
-	// usual value before other hosts are told.
-	riseFactor, riseDeviations, minRise = 1.6, 2, 1.1
-	// minRiseFraction is the fraction of PerSecond below which a rise has no effect.
-	minRiseFraction = 0.04
+	// riseFactor, riseDeviations and riseMargin state how far the demand at a host rises above its
+	// usual value before other hosts are told. Random bursts at hosts with few callers must not
+	// count: the least rise is minRiseFraction of PerSecond, between minRise and maxMinRise.
+	riseFactor, riseDeviations, riseMargin = 1.4, 3.4, 0.6
+	minRiseFraction, minRise, maxMinRise   = 0.1, 1.3, 2.1
+	// usualFraction is the fraction of PerSecond that is assumed as the demand of all hosts if less
+	// is known.
+	usualFraction = 0.6
+	// maxSmallAge is the age up to which reports count that are too small to be repeated while the
+	// account is not near its quota.
+	maxSmallAge = 3 * time.Second
 	// smallDemand is the demand of a host in requests per second that is averaged over a longer
 	// time, because few requests say little about it.
 	smallDemand = 3
@@ -124,8 +130,12 @@
 	published float64 // demand in the last report of this host
 	followed  float64 // weight with the delay that reports have on average
 	publishAt time.Time
-	number    uint32 // of the last report of this host
-	ownSends  int    // remaining messages that carry that report
+	number    uint32    // of the last report of this host
+	reported  time.Time // time of that report
+	received  bool      // a request has arrived since
+	sentAt    time.Time // time of the last message while the account was near its quota
+	nearSends int       // remaining messages that say that the account is near its quota
+	ownSends  int       // remaining messages that carry that report
 
 	nearUntil, nearSince time.Time
 	refreshAt, refusedAt time.Time
@@ -136,6 +146,7 @@
 	leastPart            float64 // fraction of its part of the window that this host may always use
 	limit                float64 // of the average count of admitted requests of all hosts now
 	part                 float64 // of this host
+	held                 float64 // part before the account came near its quota
 	carriers             float64 // number of hosts among which the demand is spread
 	allowance            float64 // requests that this host may admit from its part
 	solitude             solitude
@@ -190,8 +201,10 @@
 	}
 	a.last = now
 	a.admitted *= decay(elapsed, a.average)
-	a.baseline = a.demand + (a.baseline-a.demand)*max(1-float64(elapsed)/float64(baselineAverage), 0)
-	a.demand *= decay(elapsed, demandAverage)
+	factor := decay(elapsed, demandAverage)
+	mean := a.demand * (1 - factor) * float64(demandAverage) / float64(elapsed)
+	a.baseline = mean + (a.baseline-mean)*decay(elapsed, baselineAverage)
+	a.demand *= factor
 	share := a.part * a.limit
 	a.allowance = min(a.allowance+share*float64(elapsed)/float64(a.average), a.maxAllowance())
 	slot := int64(now.Sub(a.epoch) / (a.window / slots))
@@ -215,6 +228,7 @@
 	defer a.mu.Unlock()
 	a.advance(now)
 	a.demand += 1 / demandAverage.Seconds()
+	a.received = true
 	if !now.Before(a.refreshAt) || s.isolated != a.solitude.isolated {
 		a.refresh(now, s)
 	}
@@ -258,9 +272,11 @@
 	}
 	if !a.isNear(now) {
 		a.nearSince = now
-		a.allowance = min(a.allowance, allowanceFraction*a.part*a.limit)
 		a.near.add(a)
 	}
+	if until.Sub(a.nearUntil) > nearTime/4 {
+		a.nearSends = relaySends
+	}
 	a.nearUntil = until
 }
 
@@ -305,7 +321,7 @@
 // at about the same time, may have admitted within the window. The caller holds mu.
 func (a *account) forgotten(now time.Time) float64 {
 	age := now.Sub(a.epoch)
-	a.leastPart, a.slackPart = newWindowPart, 0
+	a.leastPart, a.slackPart = newWindowPart, a.slack/assumedCarriers/2
 	if age >= a.window {
 		a.leastPart, a.slackPart = minWindowPart, a.slack/a.carriers
 		return 0
@@ -325,11 +341,17 @@
 // fast that it may be. The caller holds mu.
 func (a *account) seemsNear() bool {
 	distance := nearDistance * a.quota.PerSecond / (a.quota.PerSecond + distanceRate)
-	if a.admitted+a.heard >= (1-distance)*a.base || a.ringSum+a.heardCount >= (1-distance)*a.soft {
+	base, soft := a.base, a.soft
+	if a.solitude.partial { // the rest is reserved for hosts that may be cut off
+		base = max(base-(a.others-a.heard), a.part*base)
+		soft = max(soft-(a.othersCount-a.heardCount), a.part*soft)
+	}
+	if a.admitted+a.heard >= (1-distance)*base || a.ringSum+a.heardCount >= (1-distance)*soft {
 		return true
 	}
-	rise := riseFactor*a.baseline + riseDeviations*math.Sqrt(a.baseline) + minRise
-	return a.demand > max(rise, minRiseFraction*a.quota.PerSecond)
+	least := min(max(minRiseFraction*a.quota.PerSecond, minRise), maxMinRise)
+	rise := max(riseDeviations*math.Sqrt(a.baseline)+riseMargin*min(a.quota.PerSecond/distanceRate, 1), least)
+	return a.demand > max(a.baseline+rise, riseFactor*a.baseline)
 }
 
 // weight returns the demand by which the quota is divided. The caller holds mu.
@@ -340,7 +362,11 @@
 
 // isSilent reports whether the host of a report may be cut off. The caller holds mu.
 func (a *account) isSilent(r *report, now time.Time) bool {
-	return a.solitude.isolated || (a.isNear(now) && now.Sub(a.nearSince) > grace && now.Sub(r.sampled) > maxReportAge)
+	if a.solitude.isolated {
+		return true
+	}
+	overdue := a.solitude.partial || now.Sub(a.nearSince) > grace
+	return a.isNear(now) && overdue && now.Sub(r.sampled) > maxReportAge
 }
 
 // updateParts divides the quota: silent hosts keep their last part, and the others divide the
@@ -350,9 +376,6 @@
 	switch {
 	case a.solitude.isolated:
 		a.part = max(min(a.part, maxReserved), a.solitude.floor)
-		if len(a.reports) == 0 {
-			a.part = a.solitude.floor
-		}
 		return
 	case a.solitude.learning && len(a.reports) == 0:
 		a.divide(0, 0, 1, now)
@@ -362,7 +385,7 @@
 	}
 	a.reports = slices.DeleteFunc(a.reports, func(r report) bool {
 		age := now.Sub(r.sampled)
-		return age > maxBackgroundAge || (near && age > reservedTime && now.Sub(a.nearSince) > reservedTime)
+		return age > maxBackgroundAge || (!near && age > maxSmallAge && r.demand < a.leastBackground()) || (near && age > reservedTime && now.Sub(a.nearSince) > reservedTime)
 	})
 	own := a.published // of the same time as the reports
 	if near {
@@ -376,20 +399,27 @@
 			total += r.demand
 		}
 	}
+	if !near && a.solitude.partial && a.held > 0 {
+		return // reports of hosts that may be cut off can't be compared with newer ones
+	}
 	a.divide(own, total, 1-min(reserved, maxReserved), now)
 }
 
 // divide divides the rest of the quota among hosts with a total demand. The caller holds mu.
 func (a *account) divide(own, total, rest float64, now time.Time) {
 	a.part = a.solitude.floor
+	assumed := max(total, usualFraction*a.quota.PerSecond)
 	if total > 0 {
-		a.part = rest * own / total
+		a.part = max(rest*own/assumed, min(a.held, 1-rest))
+	}
+	if !a.isNear(now) {
+		a.held = a.part
 	}
 	squares := a.part * a.part
 	for i := range a.reports {
 		r := &a.reports[i]
 		if total > 0 && !a.isSilent(r, now) {
-			r.part = rest * r.demand / total
+			r.part = rest * r.demand / assumed
 		}
 		squares += r.part * r.part
 	}
@@ -409,10 +439,10 @@
 		remaining := a.remaining(age)
 		return max(r.rate*average*remaining, r.part*a.base), max(r.count*remaining, r.part*a.most) + lost
 	}
-	use = r.rate * average
 	if !a.isNear(now) {
-		return use, r.count + lost
+		return r.demand * average, r.demand*a.window.Seconds() + lost // less random than the rate
 	}
+	use = r.rate * average
 	next := min(r.demand*average, max(use, r.part*a.limit))
 	use += (next - use) * float64(age) / float64(age+a.average)
 	return use, r.count + max(use/average-r.count/a.window.Seconds(), 0)*age.Seconds() + lost
--- a/internal/quota/limiter/gossip.go
+++ b/internal/quota/limiter/gossip.go
@@ -33,9 +33,21 @@
 	// one message.
 	maxNearAccounts, maxNearEntries = 8, 48
 	// ownSends and relaySends are the numbers of messages that carry a report.
-	ownSends, relaySends = 4, 3
-	maxRate              = 1e9
-	maxMessageAge        = uint32(maxBackgroundAge / time.Millisecond)
+	ownSends, relaySends = 3, 2
+	// busySends is the same for an account that uses most of its quota.
+	busySends = 4
+	// busyFraction is the fraction of a quota from which its use is reported more often.
+	busyFraction = 0.7
+	// largeQuota is the number of requests per second from which a quota is large.
+	largeQuota = 40
+	// minReportInterval and maxReportInterval bound the interval between reports about an account
+	// near its quota, with and without new requests.
+	minReportInterval, maxReportInterval = 80 * time.Millisecond, 500 * time.Millisecond
+	// minQuietInterval is the least interval between messages about an account of which most of
+	// the quota is unused.
+	minQuietInterval = 200 * time.Millisecond
+	maxRate          = 1e9
+	maxMessageAge    = uint32(maxBackgroundAge / time.Millisecond)
 )
 
 // outbox is the state of the messages of a Limiter.
@@ -111,14 +123,26 @@
 	if !a.isNear(now) {
 		return nil
 	}
+	if a.nearSends == 0 && !a.isBusy() && now.Sub(a.sentAt) < minQuietInterval {
+		return nil
+	}
+	a.sentAt = now
 	u := &framer.Usage{Account: a.name, NearMilliseconds: uint32(now.Sub(a.nearUntil.Add(-nearTime)).Milliseconds()) + 1}
-	if a.weight() > minReportedDemand || a.ringSum > 0 {
-		a.published = a.weight()
+	since, interval := now.Sub(a.reported), maxReportInterval
+	if a.isBusy() {
+		interval = minReportInterval
+	}
+	if a.weight() > minReportedDemand && (since >= maxReportInterval || (a.received && since >= interval)) {
+		a.published, a.reported, a.received = a.weight(), now, false
 		a.number++
 		a.appendOwn(u, l, a.admitted/a.average.Seconds(), a.ringSum)
 		*entries--
 	}
 	*entries -= a.passOn(u, *entries, now)
+	if len(u.Hosts) == 0 && a.nearSends == 0 {
+		return nil
+	}
+	a.nearSends = max(a.nearSends-1, 0)
 	return u
 }
 
@@ -145,6 +169,12 @@
 	return passed
 }
 
+// leastBackground returns the demand from which it is reported while the account is not near its
+// quota. The caller holds mu.
+func (a *account) leastBackground() float64 {
+	return max(minBackgroundFraction*a.quota.PerSecond, minBackgroundDemand)
+}
+
 // backgroundUsage returns reports about accounts that are not near their quota, a few per
 // message. The caller holds outbox.mu.
 func (l *Limiter) backgroundUsage(now time.Time) (out []*framer.Usage) {
@@ -175,7 +205,7 @@
 		return nil
 	}
 	a.advance(now)
-	if least := max(minBackgroundFraction*a.quota.PerSecond, minBackgroundDemand); !now.Before(a.publishAt) && max(a.baseline, a.published) >= least {
+	if !now.Before(a.publishAt) && max(a.baseline, a.published) >= a.leastBackground() {
 		a.published, a.publishAt, a.ownSends = a.baseline, now.Add(backgroundInterval), ownSends
 		a.number++
 	}
@@ -246,18 +276,29 @@
 	if u.NearMilliseconds > 0 {
 		a.markNear(now.Add(-time.Duration(u.NearMilliseconds-1)*time.Millisecond), now)
 	}
+	sends := relaySends
+	if a.isNear(now) && a.isBusy() {
+		sends = busySends
+	}
 	for i, id := range u.Hosts {
 		if id == l.id {
 			continue
 		}
 		a.mergeReport(report{
 			id: id, start: u.Starts[i], number: u.Numbers[i], rate: float64(u.Rates[i]), demand: float64(u.Demands[i]), count: float64(u.Counts[i]),
-			sampled: now.Add(-time.Duration(u.Ages[i]) * time.Millisecond), sends: relaySends,
+			sampled: now.Add(-time.Duration(u.Ages[i]) * time.Millisecond), sends: sends,
 		})
 	}
 	a.refreshAt = now
 }
 
+// isBusy reports whether the account is to be reported often while it is near its quota: most of
+// the quota is in use, or it is so large that its demand rarely rises at random. The caller holds
+// mu.
+func (a *account) isBusy() bool {
+	return a.quota.PerSecond >= largeQuota || a.admitted+a.heard >= busyFraction*a.base
+}
+
 // mergeReport stores a report that is newer than the known one of its host. The caller holds mu.
 func (a *account) mergeReport(r report) {
 	i := slices.IndexFunc(a.reports, func(old report) bool { return old.id == r.id })
--- a/internal/quota/limiter/limiter.go
+++ b/internal/quota/limiter/limiter.go
@@ -158,6 +158,7 @@
 // solitude describes how far a host is cut off from the others.
 type solitude struct {
 	isolated bool    // no other host was heard of recently
+	partial  bool    // some hosts don't respond
 	learning bool    // this host may not know yet what the others know
 	floor    float64 // part of a quota that this host may use without a part of its own
 	equal    float64 // part of each host in a division by number
@@ -171,6 +172,7 @@
 	at := now.Sub(l.epoch)
 	return solitude{
 		isolated: l.learning.Load() || at-time.Duration(l.contact.Load()) > maxContactAge,
+		partial:  l.live.Load() < l.known.Load(),
 		learning: at-time.Duration(l.learned.Load()) < learningTime, floor: newHostFraction / known, equal: 1 / known,
 	}
 }
--- a/internal/quota/limiter/limiter_test.go
+++ b/internal/quota/limiter/limiter_test.go
@@ -137,7 +137,7 @@
 func TestTrial(t *testing.T) {
 	build := func(name string, now time.Time) method { return limiter.New(name, settings, now) }
 	for _, hosts := range []int{12, 77} {
-		for _, perSecond := range []float64{5, 200} {
+		for _, perSecond := range []float64{5, 60, 200} {
 			for _, name := range []string{"usual", "at rate", "burst 5", "burst 7", "move", "move, burst 5", "one host", "cut one by one", "cut together", "cut one by one, burst 7", "cut together, burst 7", "burst 7, cut", "kill", "kill, burst 7", "kill all, burst 7", "freeze, burst 7"} {
 				c := scenarios[name]
 				quota := authenticator.Quota{PerSecond: perSecond, Burst: perSecond}
