--- a/internal/quota/limiter/account.go
+++ b/internal/quota/limiter/account.go
@@ -25,7 +25,7 @@
 	// use, whatever the others report.
 	minWindowPart = 0.5
 	// newWindowPart is the same for a host that has just started.
-	newWindowPart = 0.3
+	newWindowPart = 0.25
 	// limitedTime is how long an account is reported as limited after a refusal.
 	limitedTime = 5 * time.Second
 	// assumedCarriers is the number of hosts with many callers that is assumed while no demand is
@@ -43,7 +43,7 @@
 	remainingFactor = 1.6
 	// forgottenFraction is the fraction of the limit of the window that is assumed to be used
 	// when all hosts have just started.
-	forgottenFraction = 0.9
+	forgottenFraction = 1
 	// reportDelay is the usual age of reports about an account near its quota.
 	reportDelay = 400 * time.Millisecond
 	// grace is the time that the other hosts have to report after an account came near its
@@ -66,11 +66,11 @@
 	// riseFactor, riseDeviations and riseMargin state how far the demand at a host rises above its
 	// usual value before other hosts are told. Random bursts at hosts with few callers must not
 	// count: the least rise is minRiseFraction of PerSecond, between minRise and maxMinRise.
-	riseFactor, riseDeviations, riseMargin = 1.4, 3.4, 0.6
+	riseFactor, riseDeviations, riseMargin = 1.4, 3, 0.5
 	minRiseFraction, minRise, maxMinRise   = 0.1, 1.3, 2.1
 	// usualFraction is the fraction of PerSecond that is assumed as the demand of all hosts if less
 	// is known.
-	usualFraction = 0.6
+	usualFraction = 0.45
 	// maxSmallAge is the age up to which reports count that are too small to be repeated while the
 	// account is not near its quota.
 	maxSmallAge = 3 * time.Second
@@ -153,7 +153,7 @@
 }
 
 func newAccount(name string, epoch time.Time, near *nearSet) *account {
-	return &account{name: name, near: near, epoch: epoch, last: epoch, part: 1, carriers: 1}
+	return &account{name: name, near: near, epoch: epoch, last: epoch, carriers: 1}
 }
 
 func (a *account) currentQuota() authenticator.Quota {
@@ -470,5 +470,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance(now)
-	return Use{Account: a.name, Own: a.admitted / a.base, Fleet: (a.admitted + a.others) / a.base, Part: a.part, Count: a.ringSum + a.othersCount, Limited: !a.refusedAt.IsZero() && now.Sub(a.refusedAt) < limitedTime}
+	return Use{Account: a.name, Own: a.admitted / a.base, Fleet: (a.admitted + a.others) / a.base, Part: a.part, Limited: !a.refusedAt.IsZero() && now.Sub(a.refusedAt) < limitedTime}
 }
--- a/internal/quota/limiter/gossip.go
+++ b/internal/quota/limiter/gossip.go
@@ -22,8 +22,8 @@
 	// minReportedDemand that for an account near its quota.
 	minBackgroundDemand, minReportedDemand = 0.1, 0.01
 	// backgroundBytes and backgroundBurst bound the bytes of these reports per second.
-	backgroundBytes = 700
-	backgroundBurst = 700
+	backgroundBytes = 500
+	backgroundBurst = 500
 	// entryBytes and accountBytes are the approximate sizes of a report in a message, and of its
 	// account.
 	entryBytes, accountBytes = 26, 18
@@ -53,6 +53,7 @@
 // outbox is the state of the messages of a Limiter.
 type outbox struct {
 	mu      sync.Mutex
+	rand    *rand.Rand
 	next    int       // account at which the next scan starts
 	bytes   float64   // that background reports may take now
 	bytesAt time.Time // of bytes
@@ -91,7 +92,7 @@
 // nearUsage returns the reports about accounts near their quota. The caller holds outbox.mu.
 func (l *Limiter) nearUsage(now time.Time) (out []*framer.Usage) {
 	near := l.near.take()
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	l.outbox.rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	entries, solitude := maxNearEntries, l.solitude(now)
 	for _, a := range near {
 		if len(out) < maxNearAccounts && entries > 0 {
@@ -138,7 +139,7 @@
 		a.appendOwn(u, l, a.admitted/a.average.Seconds(), a.ringSum)
 		*entries--
 	}
-	*entries -= a.passOn(u, *entries, now)
+	*entries -= a.passOn(u, *entries, l.outbox.rand, now)
 	if len(u.Hosts) == 0 && a.nearSends == 0 {
 		return nil
 	}
@@ -148,13 +149,13 @@
 
 // passOn adds up to n reports of other hosts to a message and returns their number. The caller
 // holds mu.
-func (a *account) passOn(u *framer.Usage, n int, now time.Time) (passed int) {
+func (a *account) passOn(u *framer.Usage, n int, random *rand.Rand, now time.Time) (passed int) {
 	if a.pending == 0 {
 		return 0
 	}
 	start := 0
 	if len(a.reports) > 0 {
-		start = rand.IntN(len(a.reports))
+		start = random.IntN(len(a.reports))
 	}
 	a.pending = 0
 	for i := range a.reports {
@@ -218,7 +219,7 @@
 		entries--
 		a.appendOwn(u, l, a.baseline, a.baseline*a.window.Seconds())
 	}
-	a.passOn(u, entries, now)
+	a.passOn(u, entries, l.outbox.rand, now)
 	return u
 }
 
--- a/internal/quota/limiter/limiter.go
+++ b/internal/quota/limiter/limiter.go
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -84,7 +85,7 @@
 	l.known.Store(assumedHosts)
 	l.accounts.Store(new(map[string]*account))
 	l.ordered.Store(new([]*account))
-	l.outbox.bytes = backgroundBurst
+	l.outbox.bytes, l.outbox.rand = backgroundBurst, rand.New(rand.NewPCG(uint64(l.id), l.start))
 	return l
 }
 
@@ -183,8 +184,7 @@
 	Own     float64 // fraction of the quota that this host uses
 	Fleet   float64 // fraction that all known hosts use
 	Part    float64 // fraction that this host may use while the quota is used up
-	Count   float64
-	Limited bool // a request was refused a short time ago
+	Limited bool    // a request was refused a short time ago
 }
 
 // Report returns the accounts of which this host uses the largest fractions, at most limit.
