--- a/internal/quota/limiter/limiter.go
+++ b/internal/quota/limiter/limiter.go
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -84,7 +85,7 @@
 	l.known.Store(assumedHosts)
 	l.accounts.Store(new(map[string]*account))
 	l.ordered.Store(new([]*account))
-	l.outbox.bytes = backgroundBurst
+	l.outbox.bytes, l.outbox.rand = backgroundBurst, rand.New(rand.NewPCG(uint64(l.id), l.start))
 	return l
 }
 
@@ -158,6 +159,7 @@
 // solitude describes how far a host is cut off from the others.
 type solitude struct {
 	isolated bool    // no other host was heard of recently
+	partial  bool    // some hosts don't respond
 	learning bool    // this host may not know yet what the others know
 	floor    float64 // part of a quota that this host may use without a part of its own
 	equal    float64 // part of each host in a division by number
@@ -171,6 +173,7 @@
 	at := now.Sub(l.epoch)
 	return solitude{
 		isolated: l.learning.Load() || at-time.Duration(l.contact.Load()) > maxContactAge,
+		partial:  l.live.Load() < l.known.Load(),
 		learning: at-time.Duration(l.learned.Load()) < learningTime, floor: newHostFraction / known, equal: 1 / known,
 	}
 }
@@ -181,8 +184,7 @@
 	Own     float64 // fraction of the quota that this host uses
 	Fleet   float64 // fraction that all known hosts use
 	Part    float64 // fraction that this host may use while the quota is used up
-	Count   float64
-	Limited bool // a request was refused a short time ago
+	Limited bool    // a request was refused a short time ago
 }
 
 // Report returns the accounts of which this host uses the largest fractions, at most limit.
