--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -42,6 +42,8 @@
 	AbortedResponses        Counter = "aborted_answers"
 	BodyBytes               Counter = "body_bytes"
 	StreamBytes             Counter = "stream_bytes"
+	BodyRefusals            Counter = "body_refusals"
+	SlowBodies              Counter = "slow_bodies"
 	Panics                  Counter = "panics"
 )
 
@@ -67,6 +69,8 @@
 	AbortedResponses:        "responses aborted because they could not be completed",
 	BodyBytes:               "bytes of requests and responses held in memory now",
 	StreamBytes:             "bytes of buffers for responses that are passed on as they arrive now",
+	BodyRefusals:            "requests refused because no memory was free for their body",
+	SlowBodies:              "requests refused because their body of over 1 MiB was not complete before the deadline",
 	Panics:                  "recovered panics; the affected task failed and the process continued",
 }
 
--- a/internal/request/steerer/body.go
+++ b/internal/request/steerer/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
+	"dandeliontrack.example/dandeliontrack/internal/process/meter"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -41,12 +42,14 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, acceptor.ErrNoMemory):
+		x.s.options.Meter.Add(meter.BodyRefusals, 1)
 		return errNoBodyMemory
 	case errors.Is(err, acceptor.ErrTooLarge):
 		return errBodyTooLarge
 	case errors.Is(err, acceptor.ErrStopping):
 		return errStoppingInBody
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.s.options.Meter.Add(meter.SlowBodies, 1)
 		return errBodyTooSlow
 	default:
 		return classifier.BadRequest.Wrap(err, "request body")
