--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -45,6 +45,8 @@
 	AbortedResponses        Counter = "aborted_answers"
 	BodyBytes               Counter = "body_bytes"
 	StreamBytes             Counter = "stream_bytes"
+	BodyRefusals            Counter = "body_refusals"
+	SlowBodies              Counter = "slow_bodies"
 	Panics                  Counter = "panics"
 	QuotaUse                Counter = "quota_use"
 	SpeedReports            Counter = "speed_reports"
@@ -78,6 +80,8 @@
 	StreamBytes:             "bytes of buffers for responses that are passed on as they arrive now",
 	SpeedReports:            "responses in which an upstream reports its speed",
 	InvalidSpeedReports:     "responses in which the speed that an upstream reports is not valid, and is ignored",
+	BodyRefusals:            "requests refused because no memory was free for their body",
+	SlowBodies:              "requests refused because their body of over 1 MiB was not complete before the deadline",
 	Panics:                  "recovered panics; the affected task failed and the process continued",
 	QuotaUse:                "percent of the quotas of client accounts that requests of this host use now, by account, the ten largest",
 }
