--- a/internal/request/steerer/accounts_test.go
+++ b/internal/request/steerer/accounts_test.go
@@ -169,7 +169,7 @@
 
 // Guards against an attempt after the first one, or one that goes around a lost region, that
 // reaches an upstream outside the allowed regions.
-func TestRetriesStayInAllowedRegions(t *testing.T) {
+func TestRetriesStayInRegions(t *testing.T) {
 	for name, key := range map[string]string{"near": "k-near", "far": "k-far"} {
 		t.Run(name, func(t *testing.T) {
 			g, _ := newAccountHost(t, true, nil)
