--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/process/hasher"
 	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
 )
 
@@ -40,7 +41,13 @@
 // Group is an immutable view of the upstreams of one service that may get new requests.
 type Group struct {
 	upstreams []*Upstream
-	byRegion  map[string][]*Upstream
+	byRegion  map[string]*regionGroup
+}
+
+// regionGroup holds the upstreams of a group in one region.
+type regionGroup struct {
+	upstreams []*Upstream
+	index     *hasher.Index // weighted by their slots
 }
 
 // Upstreams returns the upstreams, sorted by ID. The slice must not be modified.
@@ -53,18 +60,28 @@
 
 // InRegion returns the upstreams in a region, sorted by ID. The slice must not be modified.
 func (g *Group) InRegion(region string) []*Upstream {
-	if g == nil {
+	if g == nil || g.byRegion[region] == nil {
 		return nil
 	}
-	return g.byRegion[region]
+	return g.byRegion[region].upstreams
+}
+
+// Index ranks the upstreams in a region by rendezvous hashing. Its positions are those in
+// InRegion. It is nil if there are none.
+func (g *Group) Index(region string) *hasher.Index {
+	if g == nil || g.byRegion[region] == nil {
+		return nil
+	}
+	return g.byRegion[region].index
 }
 
 // UsableSlots returns the sum of the slots of the upstreams of a region that requests can
-// keep busy, each for serviceTime, within the rate limits of the upstreams.
+// keep busy, each for serviceTime, within the rate limits of the upstreams. Slots of an upstream
+// that reports its speed count as much as they do on average.
 func (g *Group) UsableSlots(region string, serviceTime time.Duration, now time.Time) float64 {
 	usable := 0.0
 	for _, u := range g.InRegion(region) {
-		slots := float64(u.slots)
+		slots := float64(u.slots) * u.MeanSpeed(now)
 		if u.RateLimited(now) {
 			slots = min(slots, max(float64(u.RateLimit(now)), minRateLimit)*serviceTime.Seconds())
 		}
@@ -79,9 +96,10 @@
 	regions map[string]string // zone to region
 
 	mu            sync.Mutex
-	upstreams     map[string]*Upstream // by ID
-	departures    map[string]departure // by ID, of upstreams without a registration
-	evacuated     map[string]bool      // zones whose upstreams get no new requests
+	upstreams     map[string]*Upstream        // by ID
+	averages      map[string]*serviceAverages // by service
+	departures    map[string]departure        // by ID, of upstreams without a registration
+	evacuated     map[string]bool             // zones whose upstreams get no new requests
 	onLeave       func(u *Upstream, reason string)
 	openBatches   int             // batches that are not committed
 	staleServices map[string]bool // services whose group is to be rebuilt
@@ -93,7 +111,7 @@
 func New(regions map[string]string) *Registrar {
 	r := &Registrar{
 		regions: regions, upstreams: make(map[string]*Upstream), departures: make(map[string]departure),
-		evacuated: make(map[string]bool), staleServices: make(map[string]bool),
+		evacuated: make(map[string]bool), averages: make(map[string]*serviceAverages), staleServices: make(map[string]bool),
 	}
 	r.groups.Store(new(map[string]*Group))
 	return r
@@ -136,7 +154,7 @@
 	changed := u == nil || u.draining != reg.Draining
 	if u == nil || u.address != reg.Address || u.service != reg.Service || u.zone != reg.Zone || u.slots != reg.Slots {
 		old := u
-		u = newUpstream(reg, r.regions[reg.Zone])
+		u = newUpstream(reg, r.regions[reg.Zone], r.peersOf(reg.Service, r.regions[reg.Zone]))
 		if old != nil {
 			u.inheritState(old)
 			r.staleServices[old.service] = true
@@ -315,7 +333,7 @@
 		}
 		g := groups[u.service]
 		if g == nil {
-			g = &Group{byRegion: make(map[string][]*Upstream)}
+			g = &Group{byRegion: make(map[string]*regionGroup)}
 			groups[u.service] = g
 		}
 		if !u.draining && !u.leaving && !r.evacuated[u.zone] {
@@ -327,6 +345,7 @@
 			g.index()
 		} else {
 			delete(groups, service)
+			delete(r.averages, service)
 		}
 	}
 	clear(r.staleServices)
@@ -337,6 +356,18 @@
 func (g *Group) index() {
 	slices.SortFunc(g.upstreams, func(a, b *Upstream) int { return strings.Compare(a.id, b.id) })
 	for _, u := range g.upstreams {
-		g.byRegion[u.region] = append(g.byRegion[u.region], u)
+		rg := g.byRegion[u.region]
+		if rg == nil {
+			rg = new(regionGroup)
+			g.byRegion[u.region] = rg
+		}
+		rg.upstreams = append(rg.upstreams, u)
+	}
+	for _, rg := range g.byRegion {
+		hashes, slots := make([]uint64, len(rg.upstreams)), make([]float64, len(rg.upstreams))
+		for i, u := range rg.upstreams {
+			hashes[i], slots[i] = u.hash, float64(u.slots)
+		}
+		rg.index = hasher.New(hashes, slots)
 	}
 }
--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -29,9 +29,13 @@
 
 // TryAcquire reserves n bytes if that many are free, and reports whether it did. The caller
 // returns them with Release.
-func (r *Reserver) TryAcquire(n int64) bool {
+func (r *Reserver) TryAcquire(n int64) bool { return r.TryAcquireLeaving(n, 0) }
+
+// TryAcquireLeaving reserves n bytes as TryAcquire does, but only if a fraction of the limit
+// stays free.
+func (r *Reserver) TryAcquireLeaving(n int64, fraction float64) bool {
 	used := r.used.Add(n)
-	if r.limit > 0 && used > r.limit {
+	if r.limit > 0 && float64(used) > (1-fraction)*float64(r.limit) {
 		r.used.Add(-n)
 		return false
 	}
@@ -71,14 +75,19 @@
 }
 
 // ReadSegments reads a body as ReadBody does, but into segments that are not copied when the
-// body grows, so that it takes no more memory than is reserved.
-func (r *Reserver) ReadSegments(body io.Reader, length, limit int64) (segments [][]byte, reserved int64, complete bool, err error) {
+// body grows, so that it takes no more memory than is reserved. A body over 64 KiB leaves a
+// fraction of the memory to others.
+func (r *Reserver) ReadSegments(body io.Reader, length, limit int64, leave float64) (segments [][]byte, reserved int64, complete bool, err error) {
 	n := int64(reservationBytes)
 	if length > 0 && length <= limit {
 		n = length + 1 // to read the end of the body without another segment
 	}
 	for read := int64(0); read <= limit; {
-		if !r.TryAcquire(n) {
+		fraction := leave
+		if read == 0 && n <= reservationBytes+1 {
+			fraction = 0
+		}
+		if !r.TryAcquireLeaving(n, fraction) {
 			return segments, reserved, false, nil
 		}
 		reserved += n
