Expect an upstream with an invalid speed to be like its peers

Cause: an upstream whose reported speed is not valid counted as one that reports three figures, so after its last report it looked idle among upstreams that are expected to be as loaded as the others. An upstream whose last report has three figures is ranked without its speed.

--- a/internal/process/registrar/peers.go
+++ b/internal/process/registrar/peers.go
@@ -87,11 +87,10 @@
 	a.sampled.Store(now.UnixNano())
 }
 
-// usual returns an average over the peers of the upstream if it is expected to be like them:
-// it reports its speed, or has not responded yet. Otherwise it returns without. The caller must
-// hold mu.
+// usual returns an average over the peers of the upstream, or without for an upstream that
+// reports its load without its speed. The caller must hold mu.
 func (u *Upstream) usual(a *average, without float64, now time.Time) float64 {
-	if u.speed.reportedAt.IsZero() && !u.loadReported.IsZero() {
+	if u.withoutSpeed {
 		return without
 	}
 	return a.value(now)
--- a/internal/process/registrar/speed.go
+++ b/internal/process/registrar/speed.go
@@ -60,5 +60,8 @@
 func (u *Upstream) MeanSpeed(now time.Time) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.withoutSpeed {
+		return 1
+	}
 	return u.speed.meanAt(now, u.usual(u.peers.speed, 1, now))
 }
--- a/internal/process/registrar/state.go
+++ b/internal/process/registrar/state.go
@@ -38,7 +38,7 @@
 	}
 	s.Slowness = u.usual(u.peers.slowness, 1, now)
 	s.LeastSlowness = min(s.Slowness, 1)
-	if !u.speed.reportedAt.IsZero() {
+	if !u.withoutSpeed && !u.speed.reportedAt.IsZero() {
 		weight := decay(now.Sub(u.speed.reportedAt), slownessHalfLife)
 		s.LeastSlowness = min(s.Slowness+(u.speed.slowness-s.Slowness)*weight, 1+(u.speed.slowness-1)*weight)
 		s.Slowness += (u.speed.slowness - s.Slowness) * weight
--- a/internal/process/registrar/upstream.go
+++ b/internal/process/registrar/upstream.go
@@ -74,6 +74,7 @@
 	shedUntil        time.Time
 	peerLoad         float64 // requests from other hosts, as last reported
 	loadReported     time.Time
+	withoutSpeed     bool // its last report had no speed
 	speed            speed
 	slowdown         float64 // moving average of actual over expected response time, beyond the reported speed
 	failureRate      float64 // moving average of the fraction of requests that failed
@@ -99,7 +100,7 @@
 	u.coldUntil, u.suspectSince, u.nextColdRequest = old.coldUntil, old.suspectSince, old.nextColdRequest
 	if u.startUnixMilli == old.startUnixMilli {
 		u.setRateLimit(old.limit)
-		u.speed = old.speed
+		u.withoutSpeed, u.speed = old.withoutSpeed, old.speed
 	}
 }
 
@@ -185,7 +186,8 @@
 // resetProcessState resets what belongs to an earlier process. The caller must hold mu.
 func (u *Upstream) resetProcessState() {
 	u.warmObjects, u.peerLoad, u.slowdown, u.failureRate = nil, 0, 1, 0
-	u.shedUntil, u.lastLoss, u.speed = time.Time{}, time.Time{}, speed{}
+	u.shedUntil, u.lastLoss = time.Time{}, time.Time{}
+	u.withoutSpeed, u.speed = false, speed{}
 	u.resetRateLimit(time.Time{})
 }
 
@@ -243,6 +245,7 @@
 	u.peerLoad = max(0, float64(l.Running+l.Waiting)-float64(own))
 	u.loadReported = now
 	u.shedUntil = time.Time{}
+	u.withoutSpeed = l.SlownessPercent == 0
 	if slowness := l.Slowness(); slowness > 0 {
 		u.reportSpeed(slowness, now)
 	}
