Refuse requests by a cautious load of upstreams without a recent report

Cause: requests were refused by the load that is expected of an upstream like its peers, so a host refused on averages alone.

For refusals, at most one request for each slot is expected in place of an old report.

--- a/internal/process/registrar/speed_test.go
+++ b/internal/process/registrar/speed_test.go
@@ -87,7 +87,7 @@
 			}
 			s := all[2].State(0, now.Add(c.after))
 			assert.Check(t, s.ExpectedLoad >= c.minLoad && s.ExpectedLoad <= c.maxLoad, "%+v", s)
-			assert.Check(t, s.Slowness >= c.minSlowness && s.Slowness <= c.maxSlowness && s.LeastSlowness <= 1 && s.Load == 0, "%+v", s)
+			assert.Check(t, s.Slowness >= c.minSlowness && s.Slowness <= c.maxSlowness && s.LeastSlowness <= 1 && s.Load == 0 && s.CautiousLoad <= 4, "%+v", s)
 		})
 	}
 }
--- a/internal/process/registrar/state.go
+++ b/internal/process/registrar/state.go
@@ -8,6 +8,9 @@
 	// ExpectedLoad is Load, but as high as that of other upstreams of the service and region
 	// in place of an old report, if these report their speed.
 	ExpectedLoad float64
+	// CautiousLoad is ExpectedLoad with at most one request for each slot in place of an old
+	// report. Requests are refused by it.
+	CautiousLoad float64
 	Slowdown     float64 // as Quality returns it, apart from Slowness
 	FailureRate  float64
 	Slowness     float64 // expected time of work as a multiple of the usual, by what the upstream reports
@@ -30,10 +33,12 @@
 		RecentlyShed: now.Before(u.shedUntil), Warm: object != 0 && u.isWarmFor(object, now),
 	}
 	s.Slowdown, s.FailureRate = u.quality(now)
-	s.ExpectedLoad = s.Load
+	s.ExpectedLoad, s.CautiousLoad = s.Load, s.Load
 	if usual := u.usualLoad(now); usual != 0 || u.peerLoad != 0 {
 		weight := decay(now.Sub(u.loadReported), reportedLoadHalfLife)
 		s.Load += u.peerLoad * weight
+		full := min(usual, float64(u.slots))
+		s.CautiousLoad += full + (u.peerLoad-full)*weight
 		s.ExpectedLoad += usual + (u.peerLoad-usual)*weight
 	}
 	s.Slowness = u.usual(u.peers.slowness, 1, now)
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -216,6 +216,7 @@
 	Choice
 	state      registrar.State
 	cost       time.Duration
+	minWait    time.Duration // QueueWait that is certain enough to refuse a request
 	minLatency time.Duration // smallest plausible time from dispatch to the response
 	rateWait   time.Duration // until the rate limit of the upstream allows a request
 	leading    bool          // the first of its region for the object, or those before it have a rate limit
@@ -332,13 +333,13 @@
 		s.failing = s.failing || c.doubtful
 	}
 	maxWait := time.Duration(maxQueueWaitFactor * float64(q.LatencyTarget))
-	s.untilCapacity = min(s.untilCapacity, max(c.QueueWait-maxWait, c.rateWait))
-	s.earliestResponse = min(s.earliestResponse, c.QueueWait+c.minLatency)
+	s.untilCapacity = min(s.untilCapacity, max(c.minWait-maxWait, c.rateWait))
+	s.earliestResponse = min(s.earliestResponse, c.minWait+c.minLatency)
 	switch {
 	case c.cost >= best.cost:
-	case c.QueueWait > maxWait:
+	case c.minWait > maxWait:
 		s.excluded.QueueTooLong++
-	case c.QueueWait+c.minLatency > q.Remaining:
+	case c.minWait+c.minLatency > q.Remaining:
 		s.excluded.PastDeadline++
 	case !c.allowsObject(q.Object):
 		s.excluded.NoWarmUpCapacity++
@@ -383,9 +384,8 @@
 	if c.Warm {
 		c.UnloadedLatency = times.Warm
 	}
-	if excess := state.ExpectedLoad + 1 - float64(u.Slots()); excess > 0 {
-		c.QueueWait = time.Duration(excess * float64(times.queueMean) * slowdown / float64(u.Slots()))
-	}
+	c.QueueWait = queueWait(u, state.ExpectedLoad, slowdown, times)
+	c.minWait = queueWait(u, state.CautiousLoad, slowdown, times)
 	// The leading upstream warms up the object for all hosts, so it is rated as if
 	// the object were cached, even if the cold service time exceeds the deadline. Either
 	// a request of another host has warmed it up, or otherwise no upstream ever would.
@@ -417,6 +417,15 @@
 	return c
 }
 
+// queueWait returns the expected wait in the queue of an upstream with a load.
+func queueWait(u *registrar.Upstream, load, slowdown float64, times *serviceTimes) time.Duration {
+	excess := load + 1 - float64(u.Slots())
+	if excess <= 0 {
+		return 0
+	}
+	return time.Duration(excess * float64(times.queueMean) * slowdown / float64(u.Slots()))
+}
+
 func (q *Query) allowCrossRegion(failing bool) bool {
 	return q.AllowCrossRegion == nil || q.AllowCrossRegion(failing)
 }
