--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -363,7 +363,7 @@
 			assert.Equal(t, r.StatusCode, c.want)
 			assert.Equal(t, r.Header.Get("Id"), "1")
 			assert.Assert(t, c.method == "GET" || g.second.ran.Load() == 0)
-			assert.Equal(t, g.memory.Used(), int64(0))
+			g.awaitMemory(0)
 			g.first.handle = respondOK(g.first)
 			r, _, err = g.send("GET", "/look/1")
 			assert.NilError(t, err)
