--- a/internal/quota/limiter/gossip.go
+++ b/internal/quota/limiter/gossip.go
@@ -22,8 +22,8 @@
 	// minReportedDemand that for an account near its quota.
 	minBackgroundDemand, minReportedDemand = 0.1, 0.01
 	// backgroundBytes and backgroundBurst bound the bytes of these reports per second.
-	backgroundBytes = 500
-	backgroundBurst = 500
+	backgroundBytes = 400
+	backgroundBurst = 400
 	// entryBytes and accountBytes are the approximate sizes of a report in a message, and of its
 	// account.
 	entryBytes, accountBytes = 26, 18
