Release the memory of a request's body before its response is complete

Cause: the memory was released after the response had been written and its preceding responses were complete, which takes up to 30 s with a caller who reads slowly. The handler has returned by then, and a caller could see the bytes as used after its response: since the hosts of the steerer's tests count the bodies of callers, TestPanicFailsOneRequest failed in 15 of 60 runs.

Change: the reference of the call is dropped first.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -204,8 +204,8 @@
 
 func (c *conn) run(call *Call, response *ResponseWriter, refusal int) {
 	defer c.acceptor.activeRequests.Add(-1)
-	defer c.releaseBody(call)
 	defer response.finish()
+	defer c.releaseBody(call) // before the caller has read the response
 	if refusal != 0 {
 		response.Refuse(refusal, nil)
 		return
