--- a/internal/request/steerer/admission.go
+++ b/internal/request/steerer/admission.go
@@ -106,7 +106,7 @@
 		x.admission.started = true
 		x.observe(controller.Started, a.choice.QueueWait, now)
 	case !x.admission.started:
-	case classifier.Of(a.err) == classifier.Shed && a.response.StatusCode == http.StatusServiceUnavailable && !a.metadata.Leaving:
+	case classifier.Of(a.err) == classifier.Shed && a.response.StatusCode == http.StatusServiceUnavailable && !a.metadata.Leaving && !a.reportsFreeSlots():
 		x.admission.started = false
 		x.observe(controller.Shed, 0, now)
 	case a.err == nil && a.metadata.HasLoad && a.metadata.Load.Waiting > 0:
--- a/internal/request/steerer/admission_test.go
+++ b/internal/request/steerer/admission_test.go
@@ -63,6 +63,7 @@
 		"priority of the route":  {func(*upstream, *upstream) {}, "k-plain", 200, 0, 1, []controller.Event{started}},
 		"refused":                {func(*upstream, *upstream) {}, "k-refused", 503, 2, 0, nil},
 		"shed once":              {func(f, _ *upstream) { f.handle = respondStatus(f, 503, "Not-Run") }, "k-admitted", 200, 1, 2, []controller.Event{started, shed, started}},
+		"shed with free slots":   {func(f, _ *upstream) { f.handle = respondStatus(f, 503, "Not-Run", "Free") }, "k-admitted", 200, 1, 2, []controller.Event{started}},
 		"shed by both upstreams": {shedBoth, "k-admitted", 503, 1, 2, []controller.Event{started, shed, started, shed}},
 		"no upstream left":       {func(f, _ *upstream) { f.handle = nil }, "k-admitted", 503, 1, 0, []controller.Event{noCapacity}},
 	} {
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -364,7 +364,7 @@
 		// Another process uses the address now.
 		a.upstream.RecordUnreachable(now)
 	case kind == classifier.Shed:
-		a.upstream.RecordShed(now, a.metadata.HasLoad && a.metadata.Load.Running < a.metadata.Load.Slots)
+		a.upstream.RecordShed(now, a.reportsFreeSlots())
 	case cause != nil || kind == classifier.TimedOut:
 		a.upstream.RecordOverdue(now, a.timeRatio())
 		if !now.Before(a.x.deadline) {
@@ -378,6 +378,12 @@
 	}
 }
 
+// reportsFreeSlots reports whether the upstream says in its response that it has free slots. If it
+// sheds the request nevertheless, that is for another reason than overload.
+func (a *attempt) reportsFreeSlots() bool {
+	return a.metadata.HasLoad && a.metadata.Load.Running < a.metadata.Load.Slots
+}
+
 // recordRateLimit records the rate limit that the upstream states in its response, or that
 // it states none. Refusals state it too, but only a complete response counts as evidence
 // that there is none.
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -58,6 +58,7 @@
 	}
 	m := steerer.ResponseMetadata{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
 	m.ConflictingIDs = len(h["Id"]) > 1
+	m.Load, m.HasLoad = registrar.Load{Slots: 4}, h.Get("Free") != ""
 	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		m.RateLimit, m.HasRateLimit = registrar.RateLimit(limit), true
 	} else {
