Let less urgent requests make way in queues only, and refuse none that finds a free slot

Cause: a closed priority was refused a growing part of its requests whatever slots were free.

TestLoads keeps its bounds.

--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -2,16 +2,14 @@
 // it, by its priority and its client account.
 //
 //	d := c.Admit(&request, now)
-//	if !d.Admitted {
-//		return c.RetryAfter(&request, 0, now)
-//	}
-//	// Choose an upstream whose expected queue wait is within d.QueueShare of the usual limit.
+//	// Choose an upstream whose expected queue wait is within d.QueueShare of the usual limit, or
+//	// refuse the request with c.RetryAfter if there is none.
 //	c.Observe(&request, controller.Outcome{Event: controller.Started, QueueWait: wait, MaxQueueWait: limit}, now)
 //
 // Each host decides alone, by what happened to its own requests. The state of a service is one
 // threshold: levels of less urgent requests are closed one after the other while more urgent
 // requests are refused or queue for long, and opened again when they are not. A level that closes
-// first loses its place in the queues of upstreams and then a growing part of its requests.
+// loses its place in the queues of upstreams; it still gets slots that are free.
 // The page docs/design/admission.md gives the reasons.
 package controller
 
@@ -40,17 +38,15 @@
 	Open       Reason = iota // the level is open
 	Short                    // admitted with a shorter queue, because the level is closing
 	Guaranteed               // admitted as part of the minimum share of the level or account
-	Closed                   // refused, because the level is closed or closing
 )
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"open", "short", "guaranteed", "closed"}[min(r, Closed)]
+	return [...]string{"open", "short", "guaranteed"}[min(r, Guaranteed)]
 }
 
-// Decision says whether a request runs.
+// Decision says how long a request may wait for its turn.
 type Decision struct {
-	Admitted   bool
 	Reason     Reason
 	QueueShare float64 // of the usual limit of the queue wait that the request may wait
 }
@@ -108,12 +104,12 @@
 
 func (c *Controller) service(name string) *service { return (*c.services.Load())[name] }
 
-// Admit decides about a request. It admits all requests of an unknown service, and of one with a
-// single urgency.
+// Admit decides about a request. It gives all requests of an unknown service, and of one with a
+// single urgency, the whole queue.
 func (c *Controller) Admit(r *Request, now time.Time) Decision {
 	s := c.service(r.Service)
 	if s == nil || !s.multilevel {
-		return Decision{Admitted: true, QueueShare: 1}
+		return Decision{QueueShare: 1}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -149,20 +145,15 @@
 	Urgency  int
 	Closure  float64 // 0 is open, 1 is closed
 	Pressure float64 // fraction of the requests that were refused for lack of capacity or wait long
-	Admitted int64   // since the host started
-	Refused  int64   // by Admit since the host started
+	Requests int64   // since the host started
 }
 
 // State returns what happens to most requests of the level.
 func (l *LevelReport) State() Reason {
-	switch {
-	case l.Closure > queueingPart:
-		return Closed
-	case l.Closure > 0:
+	if l.Closure > 0 {
 		return Short
-	default:
-		return Open
 	}
+	return Open
 }
 
 // ServiceReport is the state of a service, with the levels by urgency.
--- a/internal/admission/controller/service.go
+++ b/internal/admission/controller/service.go
@@ -31,10 +31,11 @@
 	minStep          = 10 * time.Millisecond
 	// longIdle is the time without requests after which all levels are open.
 	longIdle = 1500 * time.Millisecond
-	// queueingPart is the part of the closure in which a level loses its place in queues. The
-	// rest refuses requests.
-	queueingPart  = 0.5
-	minQueueShare = 0.1
+	// minQueueShare is the queue share of a level from shortestClosure on. Such requests still use
+	// slots that are free, so capacity that more urgent requests don't use is not withheld. A
+	// level that has closed further takes longer to open.
+	minQueueShare   = 0.1
+	shortestClosure = 0.5
 	// maxReturnedShare is the queue share of returned requests, so that they start before new
 	// ones of the same level where the queues are at the limit of the latter.
 	maxReturnedShare = 1.2
@@ -78,11 +79,9 @@
 	closure     float64 // 0 is open, 1 is closed
 	pressure    window  // weight of refusals and long waits, and the number of observations
 	credit      float64 // requests that the minimum share still owes
-	refusalDebt float64 // fraction of a refusal that is due
 	lastRequest time.Time
 	nextReturn  time.Time
-	admitted    int64
-	refused     int64
+	requests    int64
 }
 
 func newService(urgencies []int, random *rand.Rand) *service {
@@ -91,7 +90,6 @@
 	s.closeSpeed = math.Pow(speedSpread, 2*random.Float64()-1)
 	s.openSpeed = math.Pow(speedSpread, 2*random.Float64()-1)
 	for i := range s.levels {
-		s.levels[i].refusalDebt = random.Float64()
 		s.levels[i].credit = random.Float64()
 	}
 	return s
@@ -123,18 +121,14 @@
 		}
 	}
 	d := s.decide(r, l, a)
-	if d.Admitted {
-		l.admitted++
-	} else {
-		l.refused++
-	}
+	l.requests++
 	return d
 }
 
 // decide applies the closure of a level to a request.
 func (s *service) decide(r *Request, l *level, a *account) Decision {
 	x := l.closure
-	d := Decision{Admitted: true, QueueShare: 1}
+	d := Decision{QueueShare: 1}
 	if r.Returned && s.multilevel {
 		d.QueueShare = maxReturnedShare
 	}
@@ -147,15 +141,11 @@
 	case r.Returned:
 		x *= x
 	}
-	if a != nil {
-		x = min(1, x*(1+a.excess()))
-	}
 	d.Reason = Short
-	d.QueueShare *= 1 - (1-minQueueShare)*min(1, x/queueingPart)
-	l.refusalDebt += max(0, x-queueingPart) / (1 - queueingPart)
-	if l.refusalDebt >= 1 {
-		l.refusalDebt--
-		return Decision{Reason: Closed}
+	x = min(1, x/shortestClosure)
+	d.QueueShare *= 1 - (1-minQueueShare)*x
+	if a != nil {
+		d.QueueShare *= 1 - x*a.excess()
 	}
 	return d
 }
@@ -293,7 +283,7 @@
 	for i, urgency := range s.urgencies {
 		l := &s.levels[i]
 		l.pressure.roll(now)
-		out[i] = LevelReport{Urgency: urgency, Closure: l.closure, Pressure: l.pressure.ratio(), Admitted: l.admitted, Refused: l.refused}
+		out[i] = LevelReport{Urgency: urgency, Closure: l.closure, Pressure: l.pressure.ratio(), Requests: l.requests}
 	}
 	return out
 }
--- a/internal/process/conductor/admission.go
+++ b/internal/process/conductor/admission.go
@@ -47,7 +47,7 @@
 			}
 			l.lines[key] = admissionLine{state, now}
 			log.Event(logger.AdmissionChanged).Str("service", s.Service).Int("urgency", level.Urgency).Str("state", state).Float64("closure", level.Closure).
-				Float64("pressure", level.Pressure).Int64("admitted", level.Admitted).Int64("refused", level.Refused).Send()
+				Float64("pressure", level.Pressure).Int64("requests", level.Requests).Send()
 		}
 	}
 }
@@ -57,7 +57,7 @@
 	out := make(map[string]any)
 	for _, s := range c.admission.Report(time.Now()) {
 		for _, l := range s.Levels {
-			out[s.Service+"/"+strconv.Itoa(l.Urgency)] = map[string]any{"closure": l.Closure, "pressure": l.Pressure, "admitted": l.Admitted, "refused": l.Refused}
+			out[s.Service+"/"+strconv.Itoa(l.Urgency)] = map[string]any{"closure": l.Closure, "pressure": l.Pressure, "requests": l.Requests}
 		}
 	}
 	return out
--- a/internal/request/steerer/admission.go
+++ b/internal/request/steerer/admission.go
@@ -13,14 +13,11 @@
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
-// errNotAdmitted is the error of a request that makes way for more urgent ones.
-var errNotAdmitted = classifier.Overloaded.New("the service is short of capacity for requests of this priority")
-
 // upstreamQueueFactor is the length of the queue of an upstream as a multiple of its slots, so
 // that a full one takes that many service times. A share of a longer wait would bound nothing.
 const upstreamQueueFactor = 3
 
-// Admission decides which requests run while a service is short of capacity.
+// Admission decides which requests make way for others while a service is short of capacity.
 type Admission interface {
 	// Admit decides about a request.
 	Admit(r *controller.Request, now time.Time) controller.Decision
@@ -38,11 +35,11 @@
 	started  bool // the controller counts the request as served
 }
 
-// admit asks the controller whether the request runs.
-func (x *exchange) admit() error {
+// admit asks the controller how long the request may wait for its turn.
+func (x *exchange) admit() {
 	controlled := x.s.options.Admission
 	if controlled == nil {
-		return nil
+		return
 	}
 	now := time.Now()
 	x.admission.request = controller.Request{
@@ -52,10 +49,6 @@
 		x.admission.request.Returned = x.s.returns.Returned(x.route.Name, timeout, now)
 	}
 	x.admission.decision, x.admission.decided = controlled.Admit(&x.admission.request, now), true
-	if !x.admission.decision.Admitted {
-		return errNotAdmitted
-	}
-	return nil
 }
 
 // usefulWait returns the longest wait in the queue of an upstream that is useful to the request.
@@ -135,8 +128,8 @@
 		return
 	}
 	reason := kind.String()
-	if x.admission.decided && !x.admission.decision.Admitted {
-		reason = "closed"
+	if kind == classifier.Overloaded && x.admission.decision.Reason == controller.Short {
+		reason = "short"
 	}
 	m.CountRefusalOf(meter.Refusal{Reason: reason, Urgency: x.urgency(), Account: x.accountName()})
 }
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -215,9 +215,7 @@
 	if err := x.prepare(); err != nil {
 		return err
 	}
-	if err := x.admit(); err != nil {
-		return err
-	}
+	x.admit()
 	if err := x.readBody(); err != nil {
 		return err
 	}
