Reuse connections after fast responses to long requests

Cause: a response counted as early if the goroutine that wrote the request had not ended yet, and a fast upstream's response can be read before that goroutine runs again.

A blocked write always has unacknowledged bytes; without any, the end of the goroutine is awaited for up to 5 ms.

--- a/internal/connection/sender/early_test.go
+++ b/internal/connection/sender/early_test.go
@@ -97,3 +97,24 @@
 		})
 	}
 }
+
+// Guards against a connection that is closed after a fast response because the goroutine that
+// wrote the request has not run since.
+func TestConnectionIsReusedAfterLongBody(t *testing.T) {
+	s := newSender(t)
+	address := headUpstream(t, func(c net.Conn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		respond("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nlong")(c)
+	})
+	for range 100 {
+		conn, err := s.Get(t.Context(), address)
+		assert.NilError(t, err)
+		r := &sender.Request{Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{"Id": {"1"}}, Body: [][]byte{make([]byte, 1<<20)}}
+		response, err := conn.Do(t.Context(), r, time.Now().Add(10*time.Second))
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		conn.Release()
+	}
+	assert.Equal(t, s.DialCount(), int64(1))
+}
--- a/internal/connection/sender/write.go
+++ b/internal/connection/sender/write.go
@@ -34,12 +34,18 @@
 	return w
 }
 
-// ended reports whether the write has ended.
-func (w *write) ended() bool {
+// maxWriteEndDelay bounds the time from the last byte of a request to the end of the goroutine that
+// wrote it.
+const maxWriteEndDelay = 5 * time.Millisecond
+
+// endsWithin reports whether the write ends within a time.
+func (w *write) endsWithin(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
 	case <-w.done:
 		return true
-	default:
+	case <-t.C:
 		return false
 	}
 }
@@ -54,7 +60,9 @@
 	c.write = w
 	response, err := c.readMatching(r, reused)
 	if err == nil {
-		w.early = !w.ended() || w.err != nil || peeker.HasUnacknowledged(c.conn)
+		// A write that is blocked has unacknowledged bytes. Otherwise its goroutine may only not
+		// have run since.
+		w.early = peeker.HasUnacknowledged(c.conn) || !w.endsWithin(maxWriteEndDelay) || w.err != nil
 		return response, nil
 	}
 	if classifier.Of(err) == classifier.Failed {
