Let a refusal of a stated length reach a caller who sends first

Cause: a length above the limit was refused before the connection knew that a body was coming, so it lingered for 0.5 s only and reset the connection while the caller still sent: it got a broken pipe instead of 413. A case of TestRefusalReachesCallerWhoSendsFirst fails without this.

--- a/internal/connection/acceptor/body.go
+++ b/internal/connection/acceptor/body.go
@@ -39,9 +39,6 @@
 		r.Body = nil
 		return call, 0
 	}
-	if r.ContentLength > limits.BodyBytes {
-		return nil, http.StatusRequestEntityTooLarge
-	}
 	body := &timedBody{c: c, src: r.Body, remaining: limits.BodyBytes, awaitsContinue: r.Header.Get("Expect") != "", precedingDone: c.precedingDone}
 	r.Header.Del("Expect")
 	if o := &c.acceptor.options; o.BodyDeadline != nil {
@@ -50,6 +47,9 @@
 	c.mu.Lock()
 	c.body = body
 	c.mu.Unlock()
+	if r.ContentLength > limits.BodyBytes {
+		return nil, http.StatusRequestEntityTooLarge
+	}
 	call.Body = segmenter.New(c.acceptor.options.Memory, r.ContentLength)
 	r.Body = body
 	if r.ContentLength > maxBufferedBodyBytes {
--- a/internal/connection/acceptor/body_test.go
+++ b/internal/connection/acceptor/body_test.go
@@ -115,12 +115,20 @@
 // Guards against a refusal that is lost to a caller who reads it only after its whole body was
 // sent: the connection was reset 0.5 s after the refusal.
 func TestRefusalReachesCallerWhoSendsFirst(t *testing.T) {
-	_, _, c := serveWith(t, refusingHandler{}, 4<<20, 20*time.Second)
-	send(t, c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000000\r\n\r\n")
-	for range 30 {
-		send(t, c, strings.Repeat("x", 100_000))
-		time.Sleep(50 * time.Millisecond)
+	for name, c := range map[string]struct {
+		limit int64 // of a body
+		want  int
+	}{"refused by the handler": {4 << 20, http.StatusServiceUnavailable}, "too large": {1 << 20, http.StatusRequestEntityTooLarge}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, _, conn := serveWith(t, refusingHandler{}, c.limit, 20*time.Second)
+			send(t, conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000000\r\n\r\n")
+			for range 30 {
+				send(t, conn, strings.Repeat("x", 100_000))
+				time.Sleep(50 * time.Millisecond)
+			}
+			r, _ := readResponse(t, bufio.NewReader(conn))
+			assert.Equal(t, r.StatusCode, c.want)
+		})
 	}
-	r, _ := readResponse(t, bufio.NewReader(c))
-	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
 }
