Return a request to its quota only as far as it still counts

Cause: a return took one request from the newest count, whatever the age of the returned one.

A return names the time at which the request was allowed. Mended with it, all found in review: a changed QuotaWindow stopped the ring of counts and refused everything (longer) or forgot them (shorter); reports of an account without local requests never expired, and one that was too old made receivers drop a message; an age could be negative. Admission is decided after a long body was read, not before. TestLateReturnsMakeNoRoom and TestWindowChanges fail without this.

--- a/internal/quota/limiter/account.go
+++ b/internal/quota/limiter/account.go
@@ -177,6 +177,9 @@
 	if a.average > 0 {
 		a.admitted *= float64(average) / float64(a.average)
 	}
+	if a.window > 0 && a.window != s.Window {
+		a.resizeWindow(s.Window, now)
+	}
 	a.quota, a.window, a.average, a.slack = q, s.Window, average, s.Slack
 	allowed := (q.PerSecond*s.Window.Seconds() + q.Burst) * (1 + s.Excess)
 	a.base = max(q.PerSecond*average.Seconds()+burstSlack*s.Slack*average.Seconds()/(average+s.Window).Seconds(), 1)
@@ -186,6 +189,15 @@
 	a.refreshAt = now
 }
 
+// resizeWindow changes the length of the window. The requests within the old one count as new, as
+// their times are not known. The caller holds mu.
+func (a *account) resizeWindow(window time.Duration, now time.Time) {
+	a.window = window
+	a.ringAt = a.slotOf(now)
+	a.ring = [slots]uint32{}
+	a.ring[a.ringAt%slots] = uint32(a.ringSum)
+}
+
 func (a *account) resume(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -207,7 +219,7 @@
 	a.demand *= factor
 	share := a.part * a.limit
 	a.allowance = min(a.allowance+share*float64(elapsed)/float64(a.average), a.maxAllowance())
-	slot := int64(now.Sub(a.epoch) / (a.window / slots))
+	slot := a.slotOf(now)
 	for range min(max(slot-a.ringAt, 0), slots) {
 		a.ringAt++
 		i := a.ringAt % slots
@@ -243,24 +255,28 @@
 	return true
 }
 
-// undo removes one request of the newest slot that has any from the counts. The demand stays: the
-// caller did ask.
-func (a *account) undo(now time.Time) {
+// undo removes a request that was allowed at a time from the counts, as far as it is still in them.
+// Otherwise requests that fail late would make room for others. The demand stays: the caller did
+// ask.
+func (a *account) undo(allowed, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance(now)
-	for i := range int64(slots) {
-		n := &a.ring[(a.ringAt+slots-i)%slots]
-		if *n > 0 {
-			*n--
-			a.ringSum--
-			a.admitted = max(a.admitted-1, 0)
-			a.allowance = min(a.allowance+1, a.maxAllowance())
-			return
-		}
+	age, slot := now.Sub(allowed), a.slotOf(allowed)
+	if age < 0 || slot < 0 || slot <= a.ringAt-slots || slot > a.ringAt || a.ring[slot%slots] == 0 {
+		return
+	}
+	a.ring[slot%slots]--
+	a.ringSum--
+	a.admitted = max(a.admitted-decay(age, a.average), 0)
+	if age < a.average {
+		a.allowance = min(a.allowance+1, a.maxAllowance())
 	}
 }
 
+// slotOf returns the number of the slot of a time. The caller holds mu.
+func (a *account) slotOf(t time.Time) int64 { return int64(t.Sub(a.epoch) / (a.window / slots)) }
+
 // fits reports whether one more request is within the quota. The caller holds mu.
 func (a *account) fits(now time.Time) bool {
 	// After a lower quota was set, the window still holds requests of the old one.
--- a/internal/quota/limiter/gossip.go
+++ b/internal/quota/limiter/gossip.go
@@ -128,7 +128,7 @@
 		return nil
 	}
 	a.sentAt = now
-	u := &framer.Usage{Account: a.name, NearMilliseconds: uint32(now.Sub(a.nearUntil.Add(-nearTime)).Milliseconds()) + 1}
+	u := &framer.Usage{Account: a.name, NearMilliseconds: uint32(max(now.Sub(a.nearUntil.Add(-nearTime)), 0).Milliseconds()) + 1}
 	since, interval := now.Sub(a.reported), maxReportInterval
 	if a.isBusy() {
 		interval = minReportInterval
@@ -160,6 +160,9 @@
 	a.pending = 0
 	for i := range a.reports {
 		r := &a.reports[(start+i)%len(a.reports)]
+		if now.Sub(r.sampled) > maxBackgroundAge {
+			r.sends = 0 // the receiver would not accept the message
+		}
 		if r.sends > 0 && passed < n {
 			r.sends--
 			passed++
@@ -303,6 +306,10 @@
 // mergeReport stores a report that is newer than the known one of its host. The caller holds mu.
 func (a *account) mergeReport(r report) {
 	i := slices.IndexFunc(a.reports, func(old report) bool { return old.id == r.id })
+	if i < 0 && len(a.reports) > 0 {
+		// Accounts without requests here are not refreshed, so expired reports are dropped here.
+		a.reports = slices.DeleteFunc(a.reports, func(old report) bool { return r.sampled.Sub(old.sampled) > maxBackgroundAge })
+	}
 	switch {
 	case i < 0 && len(a.reports) >= maxReports:
 		return
--- a/internal/quota/limiter/limiter.go
+++ b/internal/quota/limiter/limiter.go
@@ -147,11 +147,11 @@
 	return a == nil || a.allow(now, l.solitude(now))
 }
 
-// Return undoes the count of an allowed request that has not run and will not. Its caller may
-// send it again, and must not use up the quota by that.
-func (l *Limiter) Return(name string, now time.Time) {
+// Return undoes the count of a request that was allowed at a time, has not run and will not. Its
+// caller may send it again, and must not use up the quota by that.
+func (l *Limiter) Return(name string, allowed, now time.Time) {
 	if a := (*l.accounts.Load())[name]; a != nil {
-		a.undo(now)
+		a.undo(allowed, now)
 	}
 }
 
--- a/internal/quota/limiter/limiter_test.go
+++ b/internal/quota/limiter/limiter_test.go
@@ -428,8 +428,59 @@
 	for i := range 5000 {
 		now = now.Add(2 * time.Millisecond)
 		assert.Assert(t, l.Allow("acme", now), "request %d", i)
-		l.Return("acme", now)
+		l.Return("acme", now, now)
 	}
 	most := count(l, 5000, now)
 	assert.Assert(t, most >= 100 && most <= 700, "%d", most)
 }
+
+// Answers callers whose slow uploads fail after the window. Guards against late returns that make
+// room for other requests.
+func TestLateReturnsMakeNoRoom(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	l := limiter.New("a", settings, now)
+	l.SetQuotas(quotas(100), now)
+	l.SetFleet(1, 1, now)
+	now = now.Add(10 * time.Second)
+	var slow []time.Time
+	for range 1500 {
+		now = now.Add(10 * time.Millisecond)
+		if l.Allow("acme", now) {
+			slow = append(slow, now)
+		}
+	}
+	now = now.Add(10 * time.Second)
+	allowed := 0
+	for i := range 5000 {
+		now = now.Add(time.Millisecond)
+		if i < len(slow) {
+			l.Return("acme", slow[i], now)
+		}
+		if l.Allow("acme", now) {
+			allowed++
+		}
+	}
+	assert.Assert(t, allowed >= 500 && allowed <= 680, "%d", allowed)
+}
+
+// Guards against a changed length of the window that refuses everything, or that forgets the
+// requests within it.
+func TestWindowChanges(t *testing.T) {
+	for name, window := range map[string]time.Duration{"longer": 10 * time.Second, "shorter": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1e9, 0)
+			l := limiter.New("a", settings, now)
+			l.SetQuotas(quotas(100), now)
+			l.SetFleet(1, 1, now)
+			now = now.Add(time.Hour)
+			before := count(l, 1000, now)
+			changed := settings
+			changed.Window = window
+			l.SetSettings(changed, now)
+			limit := (100*window.Seconds()+100)*(1+settings.Excess) + settings.Slack
+			assert.Assert(t, float64(before+count(l, 5000, now)) <= max(limit, float64(before)))
+			now = now.Add(time.Minute)
+			assert.Assert(t, count(l, 1000, now) >= 100)
+		})
+	}
+}
--- a/internal/request/steerer/accounts_test.go
+++ b/internal/request/steerer/accounts_test.go
@@ -194,7 +194,7 @@
 
 func (*limitedQuotas) UntilAllowed(string, time.Time) time.Duration { return time.Second }
 
-func (q *limitedQuotas) Return(string, time.Time) { q.left++ }
+func (q *limitedQuotas) Return(string, time.Time, time.Time) { q.left++ }
 
 func (q *limitedQuotas) Allow(string, time.Time) bool {
 	q.left--
--- a/internal/request/steerer/exchange.go
+++ b/internal/request/steerer/exchange.go
@@ -72,7 +72,7 @@
 	streamDeadline time.Time // when a streamed response is aborted
 
 	admission     admission
-	inQuota       bool // the request counts in the quota of its account
+	allowedAt     time.Time // when the request was counted in the quota of its account, zero if it wasn't
 	attempts      []*attempt
 	tried         []*registrar.Upstream
 	sentAttempts  int           // attempts that may have sent a byte
@@ -317,8 +317,9 @@
 // conclude responds to the caller after an error, and writes the log entry of the request.
 func (x *exchange) conclude(err error) {
 	kind := classifier.Of(err)
-	if x.inQuota && err != nil && err != errCallerLeft && kind.Outcome() == classifier.NotRun {
-		x.s.options.Quotas.Return(x.account.Name, time.Now())
+	// An attempt may be under way when a caller has left.
+	if !x.allowedAt.IsZero() && err != nil && err != errCallerLeft && kind.Outcome() == classifier.NotRun {
+		x.s.options.Quotas.Return(x.account.Name, x.allowedAt, time.Now())
 	}
 	switch {
 	case err == nil:
--- a/internal/request/steerer/steerer.go
+++ b/internal/request/steerer/steerer.go
@@ -89,8 +89,8 @@
 type Quotas interface {
 	// Allow reports whether a request of the account is within its quota, and counts it if so.
 	Allow(account string, now time.Time) bool
-	// Return undoes the count of an allowed request that has not run and will not.
-	Return(account string, now time.Time)
+	// Return undoes the count of a request that was allowed at a time, has not run and will not.
+	Return(account string, allowed, now time.Time)
 	// UntilAllowed returns the time until this host is expected to allow a request of the account.
 	UntilAllowed(account string, now time.Time) time.Duration
 }
@@ -112,7 +112,7 @@
 	// Otherwise a key that Table doesn't hold may be new. Nil means that it always is.
 	ConfigurationCurrent func() bool
 	Quotas               Quotas    // nil means that accounts have no quota
-	Admission            Admission // nil means that all requests are admitted
+	Admission            Admission // nil means that all requests have the usual queue limit
 	Regions              []string  // in the order of the plan's weights
 	Plan                 Planner
 	// ColdRate returns how many requests per second this host may send to a cold upstream
@@ -215,10 +215,10 @@
 	if err := x.prepare(); err != nil {
 		return err
 	}
-	x.admit()
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	x.admit()
 	return x.serve()
 }
 
@@ -282,7 +282,7 @@
 	x.s.options.Watchdog.AwaitConfirmed(x.ctx)
 	q, now := x.s.options.Quotas, time.Now()
 	if q.Allow(x.account.Name, now) {
-		x.inQuota = true
+		x.allowedAt = now
 		return nil
 	}
 	x.noUpstream.UntilCapacity = q.UntilAllowed(x.account.Name, now)
