--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -1,5 +1,5 @@
-// Package controller decides for each request whether a service that is short of capacity runs
-// it, by its priority and its client account.
+// Package controller decides how long each request may wait in the queues of a service that is
+// short of capacity, by its priority and its client account.
 //
 //	d := c.Admit(&request, now)
 //	// Choose an upstream whose expected queue wait is within d.QueueShare of the usual limit, or
@@ -78,7 +78,7 @@
 	services atomic.Pointer[map[string]*service]
 }
 
-// New returns a Controller that admits all requests. Controllers of different hosts have
+// New returns a Controller to which all services have capacity. Controllers of different hosts have
 // different seeds, so that their thresholds do not move together.
 func New(seed uint64, _ time.Time) *Controller {
 	c := &Controller{seed: seed}
@@ -130,7 +130,8 @@
 func (c *Controller) RetryAfter(r *Request, untilCapacity time.Duration, now time.Time) time.Duration {
 	s := c.service(r.Service)
 	if s == nil {
-		return min(max(untilCapacity, minRetryAfter), maxRetryAfter)
+		wait := min(max(untilCapacity, minRetryAfter), maxRetryAfter)
+		return wait + time.Duration(rand.Float64()*openJitter*float64(wait))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
