--- a/internal/connection/sender/write.go
+++ b/internal/connection/sender/write.go
@@ -34,20 +34,30 @@
 	return w
 }
 
-// maxWriteEndDelay bounds the time from the last byte of a request to the end of the goroutine that
-// wrote it.
-const maxWriteEndDelay = 5 * time.Millisecond
+const (
+	// maxWriteEndDelay bounds the time from the last byte of a request to the end of the
+	// goroutine that wrote it, which may have to wait for a processor.
+	maxWriteEndDelay = time.Second
+	writePollPeriod  = time.Millisecond
+)
 
-// endsWithin reports whether the write ends within a time.
-func (w *write) endsWithin(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-w.done:
-		return true
-	case <-t.C:
-		return false
+// isEarly reports whether a response that has begun came before the upstream had received the whole
+// request. A write that is blocked has unacknowledged bytes. Without any, its goroutine may only
+// not have run since.
+func (w *write) isEarly(c net.Conn) bool {
+	poll := time.NewTicker(writePollPeriod)
+	defer poll.Stop()
+	for end := time.Now().Add(maxWriteEndDelay); time.Now().Before(end); {
+		select {
+		case <-w.done:
+			return w.err != nil || peeker.HasUnacknowledged(c)
+		case <-poll.C:
+			if peeker.HasUnacknowledged(c) {
+				return true
+			}
+		}
 	}
+	return true
 }
 
 // roundTripLong sends a request with a long body and reads the header of its response. An
@@ -60,9 +70,7 @@
 	c.write = w
 	response, err := c.readMatching(r, reused)
 	if err == nil {
-		// A write that is blocked has unacknowledged bytes. Otherwise its goroutine may only not
-		// have run since.
-		w.early = peeker.HasUnacknowledged(c.conn) || !w.endsWithin(maxWriteEndDelay) || w.err != nil
+		w.early = w.isEarly(c.conn)
 		return response, nil
 	}
 	if classifier.Of(err) == classifier.Failed {
