--- a/review/_standin-2/soak/main.go
+++ b/review/_standin-2/soak/main.go
@@ -108,6 +108,15 @@
 	if p = rand.IntN(1000); sound {
 		p = 999
 	}
+	if x.Request.Method == http.MethodHead { // states the length of a body that it doesn't send
+		write(head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+		return true
+	}
+	if rand.IntN(30) == 0 { // answers without a body
+		status := []int{http.StatusNoContent, http.StatusNotModified}[rand.IntN(2)]
+		write(fmt.Sprintf("HTTP/1.1 %d x\r\nDandeliontrack-Request-Id: %s\r\n%s\r\n", status, x.ID, "Dandeliontrack-Response-Signature: "+x.Signature(nil)+"\r\n"))
+		return true
+	}
 	switch {
 	case p < 20:
 		return false // answer lost
@@ -209,6 +218,12 @@
 		s.method = "POST"
 		body = []byte("a safe request with a body")
 	}
+	if s.method == "GET" && rand.IntN(8) == 0 {
+		s.method = "HEAD"
+	}
+	if s.unsafe && rand.IntN(3) == 0 {
+		s.method = []string{"PUT", "DELETE", "PATCH"}[rand.IntN(3)]
+	}
 	s.path = fmt.Sprintf("%s%d/%s?q=%d", prefix, rand.IntN(50), service, rand.IntN(9))
 	s.sum = sum(body)
 	requests.Store(id, s)
@@ -221,7 +236,7 @@
 		fmt.Fprintf(&b, "Cookie: Dandeliontrack-Affinity-Key=%d\r\n", rand.IntN(30))
 	}
 	switch {
-	case s.method == "GET":
+	case s.method == "GET" || s.method == "HEAD":
 		b.WriteString("\r\n")
 	case rand.IntN(3) == 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
@@ -247,6 +262,10 @@
 		violation("client: %s gets the answer of %s", id, got.ID)
 	}
 	switch {
+	case method == http.MethodHead || got.Status == http.StatusNoContent:
+		if got.Status < 300 && (got.Signature == "" || len(got.Body) > 0) {
+			violation("client: %s %s gets %d with %d bytes, signature %q", method, id, got.Status, len(got.Body), got.Signature)
+		}
 	case got.Status < 300:
 		unit := service + " " + id + " " + s.sum + "\n"
 		if got.Signature == "" || len(got.Body) == 0 || len(got.Body)%len(unit) != 0 || string(bytes.Repeat([]byte(unit), len(got.Body)/len(unit))) != string(got.Body) {
