--- a/review/_standin-2/behind/main.go
+++ b/review/_standin-2/behind/main.go
@@ -14,9 +14,9 @@
 
 const (
 	packBytes   = 2 << 20
-	rounds      = 40 // downloads
-	brokenOff   = 2  // of them, 5 in 100
-	behind      = 6  // requests of a safe route behind each
+	rounds      = 100 // downloads
+	brokenOff   = 2   // of them, 0.02
+	behind      = 6   // requests of a safe route behind each
 	allowedLost = 3
 )
 
@@ -53,17 +53,15 @@
 		c := r.Connect(h)
 		deadline := 2500 * time.Millisecond
 		first := fmt.Sprintf("pack-%02d", round)
-		out := rig.Format(http.MethodGet, rig.PackPath+fmt.Sprint(round), first, deadline, "", nil)
+		end := time.Now().Add(deadline)
+		_ = c.Send(http.MethodGet, rig.PackPath+fmt.Sprint(round), first, deadline, "", nil)
 		var ids []string
 		for i := range behind {
 			id := fmt.Sprintf("stock-%02d-%d", round, i)
 			ids = append(ids, id)
-			out = append(out, rig.Format(http.MethodGet, fmt.Sprintf("%s%d-%d", rig.LookupPath, round, i), id, deadline, "", nil)...)
+			_ = c.Send(http.MethodGet, fmt.Sprintf("%s%d-%d", rig.LookupPath, round, i), id, deadline, "", nil)
 		}
-		end := time.Now().Add(deadline)
-		_, _ = c.Conn.Write(out)
-		got := c.Read(http.MethodGet, end)
-		r.Record("client: %s gets %d, %d bytes, error %v", first, got.Status, len(got.Body), got.Err)
+		got := c.Read(http.MethodGet, first, end)
 		broken := got.Err != nil
 		if broken {
 			brokenDownloads++
@@ -71,7 +69,7 @@
 		for _, id := range ids {
 			var answer rig.Result
 			if !broken {
-				answer = c.Read(http.MethodGet, end)
+				answer = c.Read(http.MethodGet, id, end)
 			}
 			run := 0
 			for _, w := range lookups {
--- a/review/_standin-2/entry/main.go
+++ b/review/_standin-2/entry/main.go
@@ -63,7 +63,6 @@
 					}
 				}
 				if got.Status == 0 || got.Close {
-					r.Record("client: %s gets %d %v", id, got.Status, got.Err)
 					c = r.Connect(h)
 				}
 				time.Sleep(5 * time.Millisecond)
--- a/review/_standin-2/limits/main.go
+++ b/review/_standin-2/limits/main.go
@@ -64,7 +64,6 @@
 	for i, c := range clients {
 		wg.Go(func() {
 			got := send(c, i, "kept", body)
-			r.Record("client: request %d (%s) on a kept connection gets %d, close %v, %v", i, kinds[i%len(kinds)], got.Status, got.Close, got.Err)
 			switch got.Status {
 			case http.StatusRequestEntityTooLarge:
 				tooLarge.Add(1)
@@ -81,7 +80,6 @@
 	fresh := 0
 	for i, h := range append(r.Hosts, r.Hosts...) {
 		got := send(r.Connect(h), i, "fresh", body)
-		r.Record("client: request %d (%s) on a new connection to %s gets %d", i, kinds[i%len(kinds)], h.Name, got.Status)
 		if got.Status == http.StatusOK {
 			fresh++
 		}
@@ -90,28 +88,21 @@
 		len(clients), 2*config, tooLarge.Load(), tooLong.Load(), tooSlow.Load(), served.Load(), fresh, 2*len(r.Hosts))
 }
 
-// kinds are the requests that only the newer version allows.
-var kinds = []string{"body of 96 KiB", "header of 10 KiB", "header that takes 1.5 s"}
-
-// send sends request i of its kind.
+// send sends request i, which only the newer version allows: its body, its header or the time that its
+// header takes is over the older limit.
 func send(c *rig.Client, i int, prefix string, body []byte) rig.Result {
-	id := fmt.Sprintf("%s-%02d", prefix, i)
-	switch i % len(kinds) {
+	switch i % 3 {
 	case 0:
-		return c.Do(http.MethodPost, rig.OrderPath+"2", id, deadline, "", body)
+		return c.Do(http.MethodPost, rig.OrderPath+"2", fmt.Sprintf("%s-%02d-long-body", prefix, i), deadline, "", body)
 	case 1:
-		return c.Do(http.MethodPost, rig.OrderPath+"3", id, deadline, "Cookie: session="+strings.Repeat("s", cookieBytes)+"\r\n", []byte("an order"))
+		cookie := "Cookie: session=" + strings.Repeat("s", cookieBytes) + "\r\n"
+		return c.Do(http.MethodPost, rig.OrderPath+"3", fmt.Sprintf("%s-%02d-long-header", prefix, i), deadline, cookie, []byte("an order"))
 	default:
-		return sendSlowly(c, id)
+		id := fmt.Sprintf("%s-%02d-slow-header", prefix, i)
+		end := time.Now().Add(slowHeader + deadline)
+		if err := c.SendSlowly(http.MethodPost, rig.OrderPath+"4", id, deadline, slowHeader, []byte("an order")); err != nil {
+			return rig.Result{Err: err}
+		}
+		return c.Read(http.MethodPost, id, end)
 	}
 }
-
-// sendSlowly sends a request whose header takes slowHeader to arrive.
-func sendSlowly(c *rig.Client, id string) rig.Result {
-	raw := rig.Format(http.MethodPost, rig.OrderPath+"3", id, deadline, "", []byte("an order"))
-	end := time.Now().Add(slowHeader + deadline)
-	_, _ = c.Conn.Write(raw[:20])
-	time.Sleep(slowHeader)
-	_, _ = c.Conn.Write(raw[20:])
-	return c.Read(http.MethodPost, end)
-}
--- a/review/_standin-2/rig/rig.go
+++ b/review/_standin-2/rig/rig.go
@@ -42,7 +42,6 @@
 type Rig struct {
 	Store   *Store
 	Trouble bool
-	Quiet   bool // workers don't record what they run
 	Hosts   []*Host
 
 	start  time.Time
--- a/review/_standin-2/rig/worker.go
+++ b/review/_standin-2/rig/worker.go
@@ -136,9 +136,7 @@
 		w.mu.Lock()
 		w.runs[x.ID]++
 		w.mu.Unlock()
-		if !w.rig.Quiet {
-			w.rig.Record("worker %s (%s) runs request %s %s %s, body of %d bytes", w.ID, w.Service, x.ID, q.Method, q.RequestURI, len(body))
-		}
+		w.rig.Record("worker %s (%s) runs request %s %s %s, body of %d bytes", w.ID, w.Service, x.ID, q.Method, q.RequestURI, len(body))
 		time.Sleep(w.Work)
 		if w.Handle == nil {
 			x.Answer(http.StatusOK, "", []byte("answer of "+w.Service+" to "+x.ID+"\n"))
@@ -165,10 +163,12 @@
 	_, _ = x.Conn.Write(append([]byte(head), body...))
 }
 
-// Client is one connection of a client to the front of a host.
+// Client is one connection of a client to the front of a host. It records what it sends and gets.
 type Client struct {
 	Conn net.Conn
 	br   *bufio.Reader
+	rig  *Rig
+	host string
 }
 
 // Connect opens a connection to a host.
@@ -177,12 +177,9 @@
 	if err != nil {
 		r.fail("connect to %s: %v", h.Name, err)
 	}
-	return NewClient(c)
+	return &Client{Conn: c, br: bufio.NewReaderSize(c, 4<<10), rig: r, host: h.Name}
 }
 
-// NewClient returns a client on an open connection.
-func NewClient(c net.Conn) *Client { return &Client{Conn: c, br: bufio.NewReaderSize(c, 4<<10)} }
-
 // Format returns the bytes of a request.
 func Format(method, path, id string, deadline time.Duration, lines string, body []byte) []byte {
 	var b strings.Builder
@@ -200,29 +197,54 @@
 	Status    int // 0 if the connection ended without a response
 	Signature string
 	Body      []byte
-	ID        string
 	Close     bool
 	Err       error // why the response is incomplete
 }
 
-// Read reads the next response, until the deadline.
-func (c *Client) Read(method string, deadline time.Time) Result {
+// Read reads the next response, which is due for the request with the ID, until the deadline.
+func (c *Client) Read(method, id string, deadline time.Time) Result {
+	got := c.read(method, deadline)
+	c.rig.Record("client: %s gets %d from %s, %d bytes, signature %q, close %v, error %v", id, got.Status, c.host, len(got.Body), got.Signature, got.Close, got.Err)
+	return got
+}
+
+func (c *Client) read(method string, deadline time.Time) Result {
 	_ = c.Conn.SetReadDeadline(deadline)
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 	if err != nil {
 		return Result{Err: err}
 	}
 	body, err := io.ReadAll(resp.Body)
-	return Result{Status: resp.StatusCode, Signature: resp.Header.Get("Dandeliontrack-Response-Signature"), Body: body, ID: resp.Header.Get("Dandeliontrack-Request-Id"), Close: resp.Close, Err: err}
+	return Result{Status: resp.StatusCode, Signature: resp.Header.Get("Dandeliontrack-Response-Signature"), Body: body, Close: resp.Close, Err: err}
+}
+
+// Send sends a request.
+func (c *Client) Send(method, path, id string, deadline time.Duration, lines string, body []byte) error {
+	c.rig.Record("client: %s is sent to %s: %s %s, body of %d bytes", id, c.host, method, path, len(body))
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(deadline))
+	_, err := c.Conn.Write(Format(method, path, id, deadline, lines, body))
+	_ = c.Conn.SetWriteDeadline(time.Time{})
+	return err
+}
+
+// SendSlowly sends a request whose header takes the given time to arrive.
+func (c *Client) SendSlowly(method, path, id string, deadline, takes time.Duration, body []byte) error {
+	c.rig.Record("client: %s is sent to %s within %v: %s %s, body of %d bytes", id, c.host, takes, method, path, len(body))
+	raw := Format(method, path, id, deadline, "", body)
+	if _, err := c.Conn.Write(raw[:20]); err != nil {
+		return err
+	}
+	time.Sleep(takes)
+	_, err := c.Conn.Write(raw[20:])
+	return err
 }
 
 // Do sends a request and reads its response.
 func (c *Client) Do(method, path, id string, deadline time.Duration, lines string, body []byte) Result {
 	end := time.Now().Add(deadline)
-	_ = c.Conn.SetWriteDeadline(end)
-	if _, err := c.Conn.Write(Format(method, path, id, deadline, lines, body)); err != nil {
+	if err := c.Send(method, path, id, deadline, lines, body); err != nil {
+		c.rig.Record("client: %s could not be sent: %v", id, err)
 		return Result{Err: err}
 	}
-	_ = c.Conn.SetWriteDeadline(time.Time{})
-	return c.Read(method, end.Add(500*time.Millisecond))
+	return c.Read(method, id, end.Add(500*time.Millisecond))
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in entry behind limits soak; do
+for name in entry behind limits; do
 	go build -buildvcs=false -o "target/review-2/$name" "./review/_standin-2/$name"
 done
