Refuse responses whose status code isn't one

Callers got a response from an upstream whose status was 000: after its head the host read on, and delivered what followed, however it was made, as the response. A status of 600 to 999 reached callers as it was.

Cause: readResponse takes any status below 200 for that of an interim response, and http.ReadResponse accepts any three characters that strconv.Atoi does: 000 to 099, 600 to 999, and +12. RFC 9110, section 15, has codes from 100 to 599, and RFC 9112, section 4, three digits.

Changed: package validator checks the lines of a head as they arrive; so far the version and the code of the status line. The sender waits for the whole head in its buffer, which grows with a head over 4 KiB, and checks it before http.ReadResponse parses it. A refused response is an error of kind failed, like other bytes that are no response: the connection is closed, a request that may run twice is sent to another upstream within the budget, and an order gets 502. The log line of the request names the upstream and the reason. An HTTP/1.0 version is replaced in the buffer, not by another reader in front of it, and a head no longer costs an allocated http.Request.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
+	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -59,8 +60,9 @@
 	dialTime    time.Duration // time to open the connection, an estimate of the round-trip time
 	idleTime    time.Duration // time in the pool before this request, 0 if new
 	used        bool
-	inFlight    bool   // a request was sent and its response is not complete
-	write       *write // of a long body, nil for none
+	inFlight    bool         // a request was sent and its response is not complete
+	write       *write       // of a long body, nil for none
+	request     http.Request // tells http.ReadResponse the method
 	response    *http.Response
 }
 
@@ -222,26 +224,27 @@
 
 const http10, http11 = "HTTP/1.0", "HTTP/1.1"
 
-// readHeader reads the header of the next response. It reads an HTTP/1.0 response like one
-// of HTTP/1.1, because http.ReadResponse ignores a Transfer-Encoding in HTTP/1.0 and would
-// take the chunks for a body that ends with the connection. The connection is not reused
+// readHeader reads and checks the header of the next response. It reads an HTTP/1.0 response
+// like one of HTTP/1.1, because http.ReadResponse ignores a Transfer-Encoding in HTTP/1.0 and
+// would take the chunks for a body that ends with the connection. The connection is not reused
 // after it (RFC 9112, section 6.1).
 func (c *Conn) readHeader(method string) (*http.Response, error) {
+	if err := c.awaitHeader(); err != nil {
+		return nil, err
+	}
 	version, err := c.br.Peek(len(http10))
 	if err != nil {
 		return nil, err
 	}
 	isHTTP10 := string(version) == http10
 	if isHTTP10 {
-		_, _ = c.br.Discard(len(http10))
-		c.br = bufio.NewReaderSize(io.MultiReader(strings.NewReader(http11), c.br), readBufferBytes)
+		copy(version, http11) // in the buffer
 	}
-	response, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	c.request.Method = method
+	response, err := http.ReadResponse(c.br, &c.request)
 	switch {
 	case err != nil:
 		return nil, err
-	case !response.ProtoAtLeast(1, 1):
-		return nil, errors.New("unsupported protocol version " + response.Proto)
 	case hasMisspeltFraming(response.Header):
 		return nil, errors.New("space between the name of a framing field and its colon")
 	}
@@ -249,6 +252,28 @@
 	return response, nil
 }
 
+// awaitHeader waits until the buffer holds the whole header of the next response, and checks
+// it. The buffer grows with the header, at most to twice the limit of the header.
+func (c *Conn) awaitHeader() error {
+	for next := 0; ; {
+		buffered, _ := c.br.Peek(c.br.Buffered())
+		var complete bool
+		var err error
+		if next, complete, err = validator.Scan(buffered, next); complete || err != nil {
+			return err
+		}
+		if len(buffered) == c.br.Size() {
+			c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.headerLimit), 2*c.br.Size())
+		}
+		if _, err = c.br.Peek(len(buffered) + 1); err != nil {
+			if err == io.EOF && len(buffered) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		}
+	}
+}
+
 // hasMisspeltFraming reports whether a framing field has a space before its colon.
 // http.ReadResponse accepts such a field under the name with the space, and so ignores it.
 func hasMisspeltFraming(h http.Header) bool {
--- a/internal/connection/sender/head_test.go
+++ b/internal/connection/sender/head_test.go
@@ -84,6 +84,27 @@
 	"chunked, version 0.9":            {head: "HTTP/0.9 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", broken: true},
 	"chunked and length, version 1.0": {head: "HTTP/1.0 200 OK\r\nId: 2\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", want: "body"},
 	"misspelt coding, version 1.0":    {head: "HTTP/1.0 200 OK\r\nId: 2\r\nTransfer-Encoding: chunkd\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", broken: true},
+
+	"length, folded date":                  {head: ok + "Date: Mon,\r\n 07 Dec 2026\r\n\t08:00:00 GMT\r\nContent-Length: 4\r\n\r\n", body: "body", want: "body"},
+	"length, odd token names":              {head: ok + "!#$%&'*+-.^_`|~1: 1\r\nContent-Length: 4\r\n\r\n", body: "body", want: "body"},
+	"length, no reason":                    {head: "HTTP/1.1 200\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", want: "body"},
+	"length, two spaces before the status": {head: "HTTP/1.1  200 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", want: "body"},
+	"length, status 599":                   {head: "HTTP/1.1 599 Odd\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", want: "body"},
+	"length, after interim 199":            {head: "HTTP/1.1 199 Odd\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", want: "body"},
+
+	"status 000":                {head: "HTTP/1.1 000 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 000, with a body":   {head: "HTTP/1.1 000 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 000, version 1.0":   {head: "HTTP/1.0 000 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 000, after interim": {head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Bad\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 099":                {head: "HTTP/1.1 099 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status +12":                {head: "HTTP/1.1 +12 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status -00":                {head: "HTTP/1.1 -00 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 600":                {head: "HTTP/1.1 600 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 999":                {head: "HTTP/1.1 999 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status of two digits":      {head: "HTTP/1.1 20 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status of four digits":     {head: "HTTP/1.1 2000 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status in hexadecimal":     {head: "HTTP/1.1 0xc OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"version 2.0":               {head: "HTTP/2.0 200 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
 }
 
 // complete returns the body of the response if only its first n bytes arrive, and whether
@@ -235,3 +256,37 @@
 		}
 	}
 }
+
+// Guards against a header that is lost or cut beyond the size of the read buffer,
+// and against bytes of the next response that are lost when the buffer has grown.
+func TestLongHeader(t *testing.T) {
+	for _, n := range []int{4 << 10, 8 << 10, 9000, 30 << 10, 63 << 10} {
+		for shift := -3; shift <= 3; shift++ {
+			long := ok + "Content-Length: 4\r\nLong: "
+			long += strings.Repeat("x", n+shift-len(long)-len("\r\n\r\n"))
+			for name, c := range map[string]struct {
+				rest string
+				want string // "" for an error
+			}{
+				"sound": {"\r\n\r\nbody", "body"},
+				"cut":   {"\r\n", ""},
+			} {
+				for _, segment := range []int{1000, 1 << 20} {
+					conn := &cutConn{responses: []string{firstResponse, long + c.rest, ok + "Content-Length: 5\r\n\r\nafter"}, segment: segment, end: io.EOF}
+					s := sender.New(sender.Options{Match: match, Dial: func(context.Context, string, string) (net.Conn, error) { return conn, nil }})
+					_, err := roundTrip(t, s, http.MethodGet, "a", "1")
+					assert.NilError(t, err)
+					body, err := roundTrip(t, s, http.MethodGet, "a", "2")
+					assert.Equal(t, body, c.want, "%s, %d bytes: %v", name, n+shift, err)
+					if c.want != "" {
+						body, err = roundTrip(t, s, http.MethodGet, "a", "2")
+						assert.NilError(t, err)
+						assert.Equal(t, body, "after")
+						assert.Equal(t, s.DialCount(), int64(1))
+					}
+					s.Close()
+				}
+			}
+		}
+	}
+}
--- a/internal/request/steerer/head_test.go
+++ b/internal/request/steerer/head_test.go
@@ -15,11 +15,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/acceptor"
 	"dandeliontrack.example/dandeliontrack/internal/connection/sender"
 	"dandeliontrack.example/dandeliontrack/internal/process/budgeter"
+	"dandeliontrack.example/dandeliontrack/internal/process/logger"
 	"dandeliontrack.example/dandeliontrack/internal/process/registrar"
 	"dandeliontrack.example/dandeliontrack/internal/process/reserver"
 	"dandeliontrack.example/dandeliontrack/internal/process/sequencer"
@@ -73,6 +75,7 @@
 	table    *matcher.Table
 	memory   *reserver.Reserver
 	requests atomic.Int64 // to upstreams
+	log      *logLines
 	steer    *steerer.Steerer
 	caller   net.Conn
 	br       *bufio.Reader
@@ -128,6 +131,7 @@
 		return c, nil
 	}})
 	g.requests.Store(0)
+	g.log = new(logLines)
 	// The expected response time is long, so that a slow test sends no hedge.
 	rank := ranker.New("r")
 	for _, route := range []string{"look", "pay"} {
@@ -136,7 +140,7 @@
 	g.steer = steerer.New(steerer.Options{
 		Dialect: dialect{}, Table: func() *matcher.Table { return g.table }, Regions: []string{"r"}, Plan: oneRegionPlanner{},
 		ColdRate:  func(*registrar.Upstream, float64) float64 { return 100 },
-		Upstreams: reg, Ranker: rank, Sender: s, Memory: g.memory, Watchdog: new(watchdog),
+		Upstreams: reg, Ranker: rank, Sender: s, Memory: g.memory, Watchdog: new(watchdog), Log: logger.New(g.log, zerolog.InfoLevel, "h"),
 		Budget: budgeter.New(budgeter.Limit{Fixed: 100, Window: 10 * time.Second}, func() int { return 1 }, time.Now().Add(-time.Minute)),
 	})
 	return s.Close
@@ -374,3 +378,39 @@
 	}
 	return cuts
 }
+
+// Guards against a response with an invalid status code that reaches the caller, against an
+// order that is sent again after one, and against a log that doesn't say what was invalid. A
+// repeatable request is served by another upstream.
+func TestInvalidResponseIsNotDelivered(t *testing.T) {
+	const withBody = "Content-Length: 4\r\n\r\nbody"
+	for name, c := range map[string]struct{ response, reason string }{
+		"status 000":         {"HTTP/1.1 000 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "status code 000 is not between 100 and 599"},
+		"status 099":         {"HTTP/1.1 099 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "status code 099 is not between 100 and 599"},
+		"status 600":         {"HTTP/1.1 600 OK\r\nSigned: 1\r\n" + withBody, "status code 600 is not between 100 and 599"},
+		"status with a sign": {"HTTP/1.1 +12 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "malformed status line"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newCutHost(t, 0)
+			for path, want := range map[string]struct {
+				status   int
+				requests int64
+			}{"/look/": {http.StatusOK, 2}, "/pay/": {http.StatusBadGateway, 1}} {
+				closeSender := g.prepare(c.response, io.EOF)
+				method := http.MethodGet
+				if path == "/pay/" {
+					method = http.MethodPost
+				}
+				r, body, err := g.send(method, path, "HTTP/1.1")
+				assert.NilError(t, err)
+				assert.Equal(t, r.StatusCode, want.status)
+				assert.Equal(t, body == secondBody, path == "/look/", "%q", body)
+				assert.Equal(t, g.requests.Load(), want.requests)
+				assert.Equal(t, r.Header.Get("X Y"), "")
+				g.closeCaller()
+				closeSender()
+				assert.Assert(t, g.log.contains(c.reason) && g.log.contains(`"upstream":"`), "%q", g.log.lines)
+			}
+		})
+	}
+}
