Refuse responses with a field whose name isn't a token

Callers got responses in whose head the name of a field held a space, and responses with a body that was not the upstream's.

Cause: http.ReadResponse accepts a space in a name and keeps the field under that name, so that "Content Length" or "Transfer -Encoding" leave the framing to a guess: the body ended with the connection, or held the chunks. Only a space before the colon of two fields was looked for. Two more ways lead there. A line that begins with a space or a tab, as a name that begins with one does, is joined to the field before it. A line feed in front of a name ends the head there, and the rest of the head is read as the body.

Changed: the validator takes each name that isn't a token (RFC 9110, section 5.6.2; RFC 9112, section 5.1) for an invalid head, as the sender reads final, interim and skipped responses. This replaces the search for two spellings. It refuses a continuation line that reads as a field line, which RFC 9112, section 5.2, leaves to a gateway; other continuation lines are joined as before. It refuses an empty line with a bare line feed after a line with CRLF; heads with bare line feeds throughout are read as before.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -242,11 +242,8 @@
 	}
 	c.request.Method = method
 	response, err := http.ReadResponse(c.br, &c.request)
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, err
-	case hasMisspeltFraming(response.Header):
-		return nil, errors.New("space between the name of a framing field and its colon")
 	}
 	response.Close = response.Close || isHTTP10
 	return response, nil
@@ -274,18 +271,6 @@
 	}
 }
 
-// hasMisspeltFraming reports whether a framing field has a space before its colon.
-// http.ReadResponse accepts such a field under the name with the space, and so ignores it.
-func hasMisspeltFraming(h http.Header) bool {
-	for name := range h {
-		if trimmed := strings.TrimRight(name, " "); len(trimmed) < len(name) &&
-			(strings.EqualFold(trimmed, "Content-Length") || strings.EqualFold(trimmed, "Transfer-Encoding")) {
-			return true
-		}
-	}
-	return false
-}
-
 // closeDelimited reports whether the body of the response ends where its connection is
 // closed.
 func closeDelimited(r *http.Response) bool {
--- a/internal/connection/sender/head_test.go
+++ b/internal/connection/sender/head_test.go
@@ -92,19 +92,41 @@
 	"length, status 599":                   {head: "HTTP/1.1 599 Odd\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", want: "body"},
 	"length, after interim 199":            {head: "HTTP/1.1 199 Odd\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", want: "body"},
 
-	"status 000":                {head: "HTTP/1.1 000 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status 000, with a body":   {head: "HTTP/1.1 000 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status 000, version 1.0":   {head: "HTTP/1.0 000 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status 000, after interim": {head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Bad\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status 099":                {head: "HTTP/1.1 099 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status +12":                {head: "HTTP/1.1 +12 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status -00":                {head: "HTTP/1.1 -00 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status 600":                {head: "HTTP/1.1 600 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status 999":                {head: "HTTP/1.1 999 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status of two digits":      {head: "HTTP/1.1 20 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status of four digits":     {head: "HTTP/1.1 2000 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
-	"status in hexadecimal":     {head: "HTTP/1.1 0xc OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
-	"version 2.0":               {head: "HTTP/2.0 200 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 000":                     {head: "HTTP/1.1 000 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 000, with a body":        {head: "HTTP/1.1 000 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 000, version 1.0":        {head: "HTTP/1.0 000 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 000, after interim":      {head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Bad\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 099":                     {head: "HTTP/1.1 099 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status +12":                     {head: "HTTP/1.1 +12 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status -00":                     {head: "HTTP/1.1 -00 Bad\r\nId: 2\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 600":                     {head: "HTTP/1.1 600 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 999":                     {head: "HTTP/1.1 999 Bad\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status of two digits":           {head: "HTTP/1.1 20 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status of four digits":          {head: "HTTP/1.1 2000 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status in hexadecimal":          {head: "HTTP/1.1 0xc OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"version 2.0":                    {head: "HTTP/2.0 200 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a name":                {head: ok + "X Y: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space before a colon":           {head: ok + "X : 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a length name":         {head: ok + "Content Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a coding name":         {head: ok + "Transfer- Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", broken: true},
+	"space in a coding name, length": {head: ok + "Transfer -Encoding: chunked\r\nContent-Length: 3\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", broken: true},
+	"space in a name, interim":       {head: "HTTP/1.1 103 Early Hints\r\nLi nk: </a>\r\n\r\n" + ok + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a name, version 1.0":   {head: "HTTP/1.0 200 OK\r\nId: 2\r\nX Y: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space before the first name":    {head: "HTTP/1.1 200 OK\r\n X: 1\r\nId: 2\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space before a length name":     {head: ok + "X: 1\r\n Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"tab before a length name":       {head: ok + "X: 1\r\n\tContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"line feed before a name":        {head: ok + "Content-Length: 4\r\n\nX: 1\r\n\r\n", body: "body", broken: true},
+	"line feed in a name":            {head: ok + "Content-Length: 4\r\nX\nY: 1\r\n\r\n", body: "body", broken: true},
+	"carriage return in a name":      {head: ok + "X\rY: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"carriage return before a name":  {head: ok + "\rX: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"tab in a name":                  {head: ok + "X\tY: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"tab before a colon":             {head: ok + "X\t: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"NUL in a name":                  {head: ok + "X\x00Y: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"escape in a name":               {head: ok + "X\x1bY: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"DEL in a name":                  {head: ok + "X\x7fY: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"empty name":                     {head: ok + ": 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"name outside ASCII":             {head: ok + "X\xe9: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"NUL in a trailer name":          {head: ok + "Transfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\nX\x00Y: 1\r\n\r\n", broken: true},
 }
 
 // complete returns the body of the response if only its first n bytes arrive, and whether
@@ -257,7 +279,7 @@
 	}
 }
 
-// Guards against a header that is lost or cut beyond the size of the read buffer,
+// Guards against a header that is lost, cut or not checked beyond the size of the read buffer,
 // and against bytes of the next response that are lost when the buffer has grown.
 func TestLongHeader(t *testing.T) {
 	for _, n := range []int{4 << 10, 8 << 10, 9000, 30 << 10, 63 << 10} {
@@ -268,8 +290,9 @@
 				rest string
 				want string // "" for an error
 			}{
-				"sound": {"\r\n\r\nbody", "body"},
-				"cut":   {"\r\n", ""},
+				"sound":         {"\r\n\r\nbody", "body"},
+				"cut":           {"\r\n", ""},
+				"space in name": {"\r\nX Y: 1\r\n\r\nbody", ""},
 			} {
 				for _, segment := range []int{1000, 1 << 20} {
 					conn := &cutConn{responses: []string{firstResponse, long + c.rest, ok + "Content-Length: 5\r\n\r\nafter"}, segment: segment, end: io.EOF}
--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -1,41 +1,65 @@
-// Package validator refuses HTTP/1.1 responses whose head violates RFC 9110 or RFC 9112
-// although package net/http accepts it: with a status code that isn't one.
+// Package validator refuses HTTP/1.1 responses whose head violates RFC 9110 or
+// RFC 9112 although package net/http accepts it: a status code that isn't one, and a field
+// whose name isn't a token. Such a field is ignored under its proper name, so that the
+// framing of the body may be a guess.
 package validator
 
 import (
 	"bytes"
 	"errors"
 	"fmt"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The valid status codes. A response with another one counts as a failure of the server
 // (RFC 9110, section 15).
 const minStatus, maxStatus = 100, 599
 
-var errStatusLine = errors.New("malformed status line")
+var (
+	errStatusLine    = errors.New("malformed status line")
+	errNoColon       = errors.New("field line without a colon")
+	errLeadingSpace  = errors.New("space before the first field line")
+	errAmbiguousLine = errors.New("continuation line that reads as a field line")
+	errEndOfHead     = errors.New("empty line ends with a bare line feed after a line that ends with CRLF")
+)
 
 // Scan checks the lines of a response head in b, of which those before offset next have been
 // checked. It stops at a line that isn't complete. It returns the offset of the first line
-// that was not checked, and whether that follows the empty line at the end of the head.
+// that was not checked, and whether that follows the empty line at the end of the head. The
+// values of fields are not checked.
 func Scan(b []byte, next int) (int, bool, error) {
 	for {
 		n := bytes.IndexByte(b[next:], '\n')
 		if n < 0 {
 			return next, false, nil
 		}
-		line := bytes.TrimSuffix(b[next:next+n], []byte{'\r'})
+		line := b[next : next+n]
+		line, hasCR := bytes.CutSuffix(line, []byte{'\r'})
+		var err error
 		switch {
 		case next == 0:
-			if err := checkStatusLine(line); err != nil {
-				return 0, false, err
-			}
+			err = checkStatusLine(line)
+		case len(line) == 0 && !hasCR && b[next-2] == '\r':
+			// A name that begins with a line feed would end the head here.
+			err = errEndOfHead
 		case len(line) == 0:
 			return next + n + 1, true, nil
+		case line[0] == ' ' || line[0] == '\t':
+			err = checkContinuation(line, isFirstField(b, next))
+		default:
+			err = checkFieldLine(line)
+		}
+		if err != nil {
+			return next, false, err
 		}
 		next += n + 1
 	}
 }
 
+// isFirstField reports whether the line at an offset follows the status line.
+func isFirstField(b []byte, offset int) bool { return bytes.IndexByte(b, '\n') == offset-1 }
+
 // checkStatusLine checks the version and the status code (RFC 9112, section 4). Several
 // spaces may precede the code.
 func checkStatusLine(line []byte) error {
@@ -59,3 +83,46 @@
 	}
 	return nil
 }
+
+// checkFieldLine checks the name of a field (RFC 9112, section 5).
+func checkFieldLine(line []byte) error {
+	n := tokenLen(line)
+	switch {
+	case 0 < n && n < len(line) && line[n] == ':':
+		return nil
+	case bytes.IndexByte(line, ':') < 0:
+		return fmt.Errorf("%w: %.64q", errNoColon, line)
+	}
+	name, _, _ := bytes.Cut(line, []byte{':'})
+	return invalidName(string(name))
+}
+
+// checkContinuation checks a line that begins with a space or a tab and so continues the
+// field before it. A gateway may refuse such lines (RFC 9112, section 5.2). One that reads as
+// a field line is refused, because the space may belong to the name. Names of fields begin
+// with a letter (RFC 9110, section 16.3.2.1), unlike the "08:00:00" of a folded date.
+func checkContinuation(line []byte, isFirst bool) error {
+	if isFirst {
+		return errLeadingSpace
+	}
+	name, _, hasColon := bytes.Cut(bytes.TrimLeft(line, " \t"), []byte{':'})
+	name = bytes.TrimRight(name, " \t")
+	if n := tokenLen(name); hasColon && 0 < n && n == len(name) && isLetter(name[0]) {
+		return fmt.Errorf("%w: %.64q", errAmbiguousLine, line)
+	}
+	return nil
+}
+
+func isLetter(c byte) bool { return 'a' <= c|0x20 && c|0x20 <= 'z' }
+
+// tokenLen returns the length of the token (RFC 9110, section 5.6.2) at the start of b.
+func tokenLen(b []byte) int {
+	for i, c := range b {
+		if !httpguts.IsTokenRune(rune(c)) {
+			return i
+		}
+	}
+	return len(b)
+}
+
+func invalidName(name string) error { return fmt.Errorf("field name %.64q is not a token", name) }
--- a/internal/request/steerer/head_test.go
+++ b/internal/request/steerer/head_test.go
@@ -379,16 +379,23 @@
 	return cuts
 }
 
-// Guards against a response with an invalid status code that reaches the caller, against an
+// Guards against a response with an invalid head that reaches the caller, against an
 // order that is sent again after one, and against a log that doesn't say what was invalid. A
 // repeatable request is served by another upstream.
 func TestInvalidResponseIsNotDelivered(t *testing.T) {
 	const withBody = "Content-Length: 4\r\n\r\nbody"
 	for name, c := range map[string]struct{ response, reason string }{
-		"status 000":         {"HTTP/1.1 000 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "status code 000 is not between 100 and 599"},
-		"status 099":         {"HTTP/1.1 099 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "status code 099 is not between 100 and 599"},
-		"status 600":         {"HTTP/1.1 600 OK\r\nSigned: 1\r\n" + withBody, "status code 600 is not between 100 and 599"},
-		"status with a sign": {"HTTP/1.1 +12 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "malformed status line"},
+		"status 000":              {"HTTP/1.1 000 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "status code 000 is not between 100 and 599"},
+		"status 099":              {"HTTP/1.1 099 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "status code 099 is not between 100 and 599"},
+		"status 600":              {"HTTP/1.1 600 OK\r\nSigned: 1\r\n" + withBody, "status code 600 is not between 100 and 599"},
+		"status with a sign":      {"HTTP/1.1 +12 OK\r\nSigned: 1\r\n\r\n" + signedOK + withBody, "malformed status line"},
+		"space in a name":         {signedOK + "X Y: 1\r\n" + withBody, `\"X Y\" is not a token`},
+		"space in a length name":  {signedOK + "Content Length: 4\r\n\r\nbody", `\"Content Length\" is not a token`},
+		"space before a name":     {signedOK + "X: 1\r\n Content-Length: 4\r\n\r\nbody", "continuation line that reads as a field line"},
+		"tab before a name":       {signedOK + "X: 1\r\n\tContent-Length: 4\r\n\r\nbody", "continuation line that reads as a field line"},
+		"line feed before a name": {signedOK + "Content-Length: 4\r\n\nX: 1\r\n\r\nbody", "empty line ends with a bare line feed"},
+		"control byte in a name":  {signedOK + "X\x01Y: 1\r\n" + withBody, `\"X\\x01Y\" is not a token`},
+		"space in an interim":     {"HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + signedOK + withBody, `\"X Y\" is not a token`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newCutHost(t, 0)
