Refuse responses with an invalid trailer

Callers got a complete response although a field in its trailer had a name with a space. The trailer itself is not passed on, and the body was the upstream's; but the bytes are no response in HTTP/1.1, and what follows them on the connection is a guess.

Cause: http.ReadResponse reads the trailer when the body is read to its end, and accepts the same names as in a head.

Changed: reading the body of a response in chunks fails at its end if a name in the trailer isn't a token. Such a response counts as truncated: a buffered one is replaced by that of another upstream or fails with 502, one that has begun to reach the caller is broken off.

Evidence, these tests on the commit before: sender TestCutResponseIsNotComplete and steerer TestInvalidResponseIsNotDelivered fail for a space in a trailer name. The former passes for a control byte, which was refused before.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -245,6 +245,7 @@
 	if err != nil {
 		return nil, err
 	}
+	validator.CheckTrailer(response)
 	response.Close = response.Close || isHTTP10
 	return response, nil
 }
--- a/internal/connection/sender/fuzz_test.go
+++ b/internal/connection/sender/fuzz_test.go
@@ -23,6 +23,7 @@
 		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "garbage\r\n\r\n",
 		"HTTP/1.1 000 OK\r\n\r\n" + firstResponse, "HTTP/1.1 200 OK\r\nId: 1\r\nContent Length: 5\r\n\r\nfirst", "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + firstResponse,
 		"HTTP/1.1 200 OK\r\nX: 1\r\n Content-Length: 5\r\n\r\nfirst", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\nId: 1\r\n\r\nfirst",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Y: 1\r\n\r\n",
 	} {
 		f.Add([]byte(text))
 	}
--- a/internal/connection/sender/head_test.go
+++ b/internal/connection/sender/head_test.go
@@ -126,6 +126,7 @@
 	"DEL in a name":                  {head: ok + "X\x7fY: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
 	"empty name":                     {head: ok + ": 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
 	"name outside ASCII":             {head: ok + "X\xe9: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a trailer name":        {head: ok + "Transfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n", broken: true},
 	"NUL in a trailer name":          {head: ok + "Transfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\nX\x00Y: 1\r\n\r\n", broken: true},
 }
 
--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -1,4 +1,4 @@
-// Package validator refuses HTTP/1.1 responses whose head violates RFC 9110 or
+// Package validator refuses HTTP/1.1 responses whose head or trailer violates RFC 9110 or
 // RFC 9112 although package net/http accepts it: a status code that isn't one, and a field
 // whose name isn't a token. Such a field is ignored under its proper name, so that the
 // framing of the body may be a guess.
@@ -8,6 +8,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -126,3 +128,39 @@
 }
 
 func invalidName(name string) error { return fmt.Errorf("field name %.64q is not a token", name) }
+
+// checkFields checks the names of the fields of a parsed head or trailer.
+func checkFields(fields map[string][]string) error {
+	for name, values := range fields {
+		// The Trailer of a response holds fields without values that it only announces.
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return invalidName(name)
+		}
+	}
+	return nil
+}
+
+// CheckTrailer makes reading the body of a response fail at its end if its trailer is invalid.
+func CheckTrailer(r *http.Response) {
+	if len(r.TransferEncoding) > 0 { // otherwise there is no trailer
+		r.Body = &body{r.Body, r}
+	}
+}
+
+// body is the body of a response in chunks.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if invalid := checkFields(b.response.Trailer); invalid != nil {
+		err = fmt.Errorf("trailer: %w", invalid)
+	}
+	return n, err
+}
--- a/internal/request/steerer/head_test.go
+++ b/internal/request/steerer/head_test.go
@@ -379,7 +379,7 @@
 	return cuts
 }
 
-// Guards against a response with an invalid head that reaches the caller, against an
+// Guards against a response with an invalid head or trailer that reaches the caller, against an
 // order that is sent again after one, and against a log that doesn't say what was invalid. A
 // repeatable request is served by another upstream.
 func TestInvalidResponseIsNotDelivered(t *testing.T) {
@@ -396,6 +396,7 @@
 		"line feed before a name": {signedOK + "Content-Length: 4\r\n\nX: 1\r\n\r\nbody", "empty line ends with a bare line feed"},
 		"control byte in a name":  {signedOK + "X\x01Y: 1\r\n" + withBody, `\"X\\x01Y\" is not a token`},
 		"space in an interim":     {"HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + signedOK + withBody, `\"X Y\" is not a token`},
+		"space in a trailer":      {signedOK + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n", `trailer: field name \"X Y\" is not a token`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newCutHost(t, 0)
