Check responses on the request path of serve and dev too

Callers of `serve` and `dev` got responses with a space in the name of a field, with such a name in an interim response or a trailer, with a body that began in the middle of a head, and with status 600. A status of 000 to 099 ended the connection of the caller by a panic in WriteHeader, and a lookup was not sent to another upstream. A health check of the pool took any such response for a sign that the connection works.

Cause: there net/http reads the responses, which has the gaps that the sender had.

Changed: a connection of the pool checks the heads of the responses to its request, those of interim ones too, with the validator before net/http gets their bytes. Link.Do and the health check share this, and the check of the trailer. A refused response is an error of kind failed with the address of the upstream and the reason; the connection is closed.

--- a/internal/connection/pool/check.go
+++ b/internal/connection/pool/check.go
@@ -48,7 +48,7 @@
 		URL:    &url.URL{Scheme: "http", Host: l.group.address, Path: "/health"},
 		Header: make(http.Header),
 	}
-	resp, err := l.client.RoundTrip(req.WithContext(ctx))
+	resp, err := l.roundTrip(req.WithContext(ctx))
 	if err != nil {
 		return err
 	}
--- a/internal/connection/pool/link.go
+++ b/internal/connection/pool/link.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -50,7 +51,7 @@
 func (l *Link) Do(req *http.Request, deadline time.Time, w Watcher) (*http.Response, error) {
 	l.before = l.conn.total()
 	l.watch(deadline, w)
-	resp, err := l.client.RoundTrip(req)
+	resp, err := l.roundTrip(req)
 	if err == nil {
 		return resp, nil
 	}
@@ -65,6 +66,20 @@
 	}
 }
 
+// roundTrip sends the request and checks the response.
+func (l *Link) roundTrip(req *http.Request) (*http.Response, error) {
+	l.conn.awaitsHead.Store(true)
+	resp, err := l.client.RoundTrip(req)
+	if err != nil {
+		if invalid := l.conn.invalidHead.Load(); invalid != nil {
+			err = *invalid // that of the transport names the bytes before the invalid ones
+		}
+		return nil, err
+	}
+	validator.CheckTrailer(resp)
+	return resp, nil
+}
+
 func (l *Link) watch(deadline time.Time, w Watcher) {
 	quiet := silence
 	if left := time.Until(deadline) / 2; !deadline.IsZero() && left < quiet {
--- a/internal/connection/pool/pool_test.go
+++ b/internal/connection/pool/pool_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -282,6 +284,71 @@
 	})
 }
 
+// Guards against a health check that an invalid response passes, against one that fails because
+// a valid response arrives in pieces, and against a connection that is used again after an
+// invalid one.
+func TestInvalidHealthResponse(t *testing.T) {
+	const withBody = "Content-Length: 5\r\n\r\nready"
+	for name, c := range map[string]struct{ response, err string }{
+		"valid":                    {"HTTP/1.1 200 OK\r\nA: 1\r\n" + withBody, ""},
+		"valid, after interim":     {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + withBody, ""},
+		"body that reads as heads": {"HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n\r\n\r\nHTTP/1.1 000 OK\r\nA B: 1\r\n\r\n", ""},
+		"status 000":               {"HTTP/1.1 000 OK\r\n" + withBody, "status code 000"},
+		"status 000, no body":      {"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", "status code 000"},
+		"status 600":               {"HTTP/1.1 600 OK\r\n" + withBody, "status code 600"},
+		"space in a name":          {"HTTP/1.1 200 OK\r\nA B: 1\r\n" + withBody, "is not a token"},
+		"space in an interim name": {"HTTP/1.1 103 Early Hints\r\nA B: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + withBody, "is not a token"},
+		"space before a name":      {"HTTP/1.1 200 OK\r\nA: 1\r\n " + withBody, "reads as a field line"},
+		"space in a trailer name":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nready\r\n0\r\nA B: 1\r\n\r\n", "is not a token"},
+	} {
+		for _, piece := range []int{1, 7, len(c.response)} {
+			t.Run(fmt.Sprintf("%s, pieces of %d", name, piece), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					checkHealth(t, c.response, piece, c.err)
+				})
+			})
+		}
+	}
+}
+
+// checkHealth sends two health checks to an upstream that sends the response in pieces. Unless
+// they succeed the connection has to be closed after the first one.
+func checkHealth(t *testing.T, response string, piece int, want string) {
+	t.Helper()
+	near, far := net.Pipe()
+	var conn sync.WaitGroup
+	conn.Go(func() { respondInPieces(far, response, piece) })
+	p := New(Options{Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
+	defer p.Close()
+	l, err := p.Get(t.Context(), upstream)
+	assert.NilError(t, err)
+	err = l.health(t.Context())
+	if want == "" {
+		assert.NilError(t, err)
+		assert.NilError(t, l.health(t.Context()))
+		l.Done()
+		return
+	}
+	assert.ErrorContains(t, err, want)
+	l.Done()
+	conn.Wait()
+}
+
+// respondInPieces sends the response to each request until the connection is closed.
+func respondInPieces(c net.Conn, response string, piece int) {
+	br := bufio.NewReader(c)
+	for {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		for part := range slices.Chunk([]byte(response), piece) {
+			if _, err := c.Write(part); err != nil {
+				return
+			}
+		}
+	}
+}
+
 // storm returns when callers that never give up made the pool dial.
 func storm(t *testing.T, refuse bool, d time.Duration) []time.Time {
 	m := &memory{mute: map[int]bool{}, refuse: refuse}
--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// IsInterim reports whether a head that Scan has checked is that of a response that precedes
+// another one to the same request (RFC 9110, section 15.2). That of a switch to another
+// protocol isn't.
+func IsInterim(head []byte) bool {
+	_, status, _ := bytes.Cut(head, []byte{' '})
+	status = bytes.TrimLeft(status, " ")
+	return status[0] == '1' && !bytes.HasPrefix(status, []byte("101"))
+}
+
 // isFirstField reports whether the line at an offset follows the status line.
 func isFirstField(b []byte, offset int) bool { return bytes.IndexByte(b, '\n') == offset-1 }
 
--- a/internal/request/forwarder/head_test.go
+++ b/internal/request/forwarder/head_test.go
@@ -41,6 +41,20 @@
 	"negative length":         {head: echoOK + "Content-Length: -4\r\n\r\n", body: "body", broken: true},
 	"misspelt coding":         {head: echoOK + "Transfer-Encoding: chunkd\r\n\r\n", body: "4\r\nbody\r\n0\r\n\r\n", broken: true},
 	"misspelt length":         {head: echoOK + "Content-Length : 12\r\n\r\n", body: "twelve bytes", atEnd: true},
+
+	"status 000":                     {head: "HTTP/1.1 000 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 000, then a response":    {head: "HTTP/1.1 000 OK\r\nRequest-Id: 1\r\n\r\n" + echoOK + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 099":                     {head: "HTTP/1.1 099 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status +12":                     {head: "HTTP/1.1 +12 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"status 600":                     {head: "HTTP/1.1 600 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a name":                {head: echoOK + "X Y: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a coding name, length": {head: echoOK + "Transfer -Encoding: chunked\r\nContent-Length: 3\r\n\r\n", body: "4\r\n", broken: true},
+	"space in a length name":         {head: echoOK + "Content Length: 4\r\n\r\n", body: "body", broken: true},
+	"space before a length name":     {head: echoOK + "X: 1\r\n Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"line feed before a name":        {head: echoOK + "Content-Length: 4\r\n\nX: 1\r\n\r\n", body: "body", broken: true},
+	"control byte in a name":         {head: echoOK + "X\x01Y: 1\r\nContent-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a name, interim":       {head: "HTTP/1.1 103 Early Hints\r\nLi nk: </a>\r\n\r\n" + echoOK + "Content-Length: 4\r\n\r\n", body: "body", broken: true},
+	"space in a trailer name":        {head: echoOK + "Transfer-Encoding: chunked\r\n\r\n", body: "4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n", broken: true},
 }
 
 // cut is the response of an upstream that ends its connection early. Requests with the
@@ -152,3 +166,42 @@
 	body, err := io.ReadAll(resp.Body)
 	return resp, string(body), err
 }
+
+// Guards against a response with an invalid head that reaches the caller, against a request that
+// is sent again although it must run once, and against an error that doesn't name the upstream
+// and the reason. One with an invalid trailer has begun to reach the caller and is broken off.
+func TestInvalidHeadIsNotDelivered(t *testing.T) {
+	for name, reason := range map[string]string{
+		"status 000":               "status code 000 is not between 100 and 599",
+		"status 099":               "status code 099 is not between 100 and 599",
+		"status +12":               "malformed status line",
+		"status 600":               "status code 600 is not between 100 and 599",
+		"space in a name":          `field name "X Y" is not a token`,
+		"space in a length name":   `field name "Content Length" is not a token`,
+		"line feed before a name":  "empty line ends with a bare line feed",
+		"control byte in a name":   `field name "X\x01Y" is not a token`,
+		"space in a name, interim": `field name "Li nk" is not a token`,
+	} {
+		f := cutFramings[name]
+		text := f.head + f.body
+		for method, status := range map[string]int{http.MethodGet: http.StatusOK, http.MethodPost: http.StatusBadGateway} {
+			t.Run(name+", "+method, func(t *testing.T) {
+				first := new(cut)
+				first.text.Store(&text)
+				g := newLoopbackHost(t, first, echoRequestID(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "second") }))
+				g.retries.Store(1)
+				resp, err := g.client.Do(g.request(t, method, "/s/prices/cut", strings.Repeat("x", len(method)-len(http.MethodGet)), "Request-Id", "1"))
+				assert.NilError(t, err)
+				defer resp.Body.Close()
+				body, err := io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, status)
+				assert.Equal(t, string(body) == "second", method == http.MethodGet, "%q", body)
+				assert.Equal(t, first.requests.Load(), int64(1))
+				record := <-g.traces
+				assert.ErrorContains(t, record.Attempts[0].Err, reason)
+				assert.ErrorContains(t, record.Attempts[0].Err, "upstream ")
+			})
+		}
+	}
+}
