Refuse invalid responses of the store

A host took a response of the store in whose head the name of a field held a space for a sound one: it read a page without the era that the store stated, or a body whose length was a guess. The store of `serve` could lose the revision of a row in this way. No such response was reported; the fault was found in the search for other readers of responses.

A status that isn't one was refused already, as any but those that the clients know.

Changed: validator.Transport wraps the transport of both clients of stores. It fails a response with an invalid status code or name of a field, in interim heads and trailers too, with the reason, and closes the idle connections. To callers this is a store that doesn't answer: StoreDown, a write that may have been performed.

What it can't see: net/http has joined a line that begins with a space, and has taken a line feed in front of a name for the end of the head. The former gives one field a wrong value; the latter leaves a body that isn't JSON.

--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -150,9 +150,12 @@
 }
 
 // CheckTrailer makes reading the body of a response fail at its end if its trailer is invalid.
-func CheckTrailer(r *http.Response) {
+func CheckTrailer(r *http.Response) { checkTrailer(r, nil) }
+
+// checkTrailer does the same and calls refuse, unless that is nil, if the trailer is invalid.
+func checkTrailer(r *http.Response, refuse func()) {
 	if len(r.TransferEncoding) > 0 { // otherwise there is no trailer
-		r.Body = &body{r.Body, r}
+		r.Body = &body{r.Body, r, refuse}
 	}
 }
 
@@ -160,6 +163,7 @@
 type body struct {
 	io.ReadCloser
 	response *http.Response
+	refuse   func()
 }
 
 // Read implements io.Reader.
@@ -170,6 +174,9 @@
 	}
 	if invalid := checkFields(b.response.Trailer); invalid != nil {
 		err = fmt.Errorf("trailer: %w", invalid)
+		if b.refuse != nil {
+			b.refuse()
+		}
 	}
 	return n, err
 }
--- a/internal/process/adapter/adapter.go
+++ b/internal/process/adapter/adapter.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -55,7 +56,7 @@
 	}
 	trim := func(s string) string { return strings.TrimSuffix(s, "/") }
 	return &Adapter{
-		client: &http.Client{Transport: transport},
+		client: &http.Client{Transport: validator.New(transport)},
 		table:  trim(table), objects: trim(objects), hosts: trim(hosts),
 		timeout: timeout,
 	}
--- a/internal/process/adapter/adapter_test.go
+++ b/internal/process/adapter/adapter_test.go
@@ -11,6 +11,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/standin/platformer"
+	"dandeliontrack.example/dandeliontrack/internal/standin/responder"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -66,3 +67,20 @@
 	assert.Equal(t, classifier.Of(err), classifier.StoreDown)
 	assert.Equal(t, s.closed, 1)
 }
+
+// Guards against an invalid response of the platform that counts as one: a row is read without
+// its revision or to a wrong end, or a write succeeds.
+func TestInvalidResponseIsRefused(t *testing.T) {
+	for name, response := range responder.Invalid("ETag: 7\r\n", "value") {
+		t.Run(name, func(t *testing.T) {
+			r := responder.New(t, response)
+			base := "http://" + r.Address
+			a := adapter.New(base, base, base, time.Minute, nil)
+			row, err := a.Get(t.Context(), "k")
+			assert.Equal(t, classifier.Of(err), classifier.StoreDown, "%+v, %v", row, err)
+			_, err = a.Put(t.Context(), "k", "7", []byte("v"))
+			assert.Equal(t, classifier.Of(err), classifier.StoreDown, "%v", err)
+			assert.Equal(t, r.Requests("/table/"), 2)
+		})
+	}
+}
