Count an invalid response to a health check as a failed one

An upstream whose health check got a response with status 000 and the body "ready" was taken for ready, and so with any other status that isn't one, or with a name of a field that isn't a token. Callers saw requests sent to an upstream that breaks its protocol.

Cause: the prober reads the body only, and net/http accepts such heads.

Changed: the prober uses validator.Transport. An invalid response is a failed check, as a connection that breaks off is.

--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
 	"dandeliontrack.example/dandeliontrack/internal/sleeper"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
@@ -41,7 +42,7 @@
 // New returns a Prober that uses the transport. Leave is called for each
 // upstream whose health says for the first time that it is draining.
 func New(transport http.RoundTripper, g Gauge, leave func(upstream string)) *Prober {
-	return &Prober{client: &http.Client{Transport: transport, Timeout: timeout}, gauge: g, leave: leave}
+	return &Prober{client: &http.Client{Transport: validator.New(transport), Timeout: timeout}, gauge: g, leave: leave}
 }
 
 // Run probes the upstreams of the plan in force until ctx ends.
