caller: return an error for an invalid response of a host

A program that calls through pkg/caller got a response with status 000 or 600, or one in whose head the name of a field held a space, as that of the service. A status of 600 and more with the outcome "not-run" was retried. A lookup accepted such a head too.

Cause: package caller reads with net/http.

Changed: it uses validator.Transport. An invalid response is an error of kind Failed with the address of the host and the reason; the request may have run and is not sent again. A lookup goes on to the next host.

Evidence, on the commit before: TestInvalidResponseIsAnError fails for all its cases but a control byte in a name, which net/http refuses.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/pkg/api"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -62,7 +63,7 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	}
-	return &Caller{seeds: seeds, client: &http.Client{Transport: transport}, routes: make(map[string]route)}
+	return &Caller{seeds: seeds, client: &http.Client{Transport: validator.New(transport)}, routes: make(map[string]route)}
 }
 
 // Hosts returns the addresses of the hosts that serve a service, in the order of
@@ -137,7 +138,8 @@
 // Do sends the request to the service. The URL of req holds only the path and the query.
 // The request is retried on the next host only if it did not run, and if its body is
 // empty or req.GetBody can provide it again. An error of the last attempt is of kind
-// Failed; an error before the first attempt is that of Hosts.
+// Failed; an error before the first attempt is that of Hosts. A response that isn't valid in
+// HTTP/1.1 is such an error too, or one of reading its body if the trailer isn't.
 //
 // The response may be a refusal. The caller of Do must close its body.
 func (c *Caller) Do(service string, req *http.Request) (*http.Response, error) {
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -10,7 +10,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/standin/responder"
 	"dandeliontrack.example/dandeliontrack/pkg/caller"
+	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
 // host starts a host that returns the given hosts from lookups and serves requests with
@@ -101,3 +103,31 @@
 	fmt.Println(err != nil)
 	// Output: true
 }
+
+// Guards against an invalid response of a host that the caller gets, against a request that is
+// sent again after one, and against a lookup that ends at a host with invalid responses.
+func TestInvalidResponseIsAnError(t *testing.T) {
+	responses := responder.Invalid("", "body")
+	delete(responses, "space in a trailer name") // the caller reads the body
+	responses["status 600, not run"] = "HTTP/1.1 600 OK\r\nOutcome: not-run\r\nContent-Length: 0\r\n\r\n"
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			r := responder.New(t, response)
+			version := 1
+			good := host(t, func() []string { return []string{r.Address} }, &version, http.NotFound)
+			c := caller.New([]string{r.Address, good}, nil)
+			hosts, err := c.Hosts(t.Context(), "catalog")
+			assert.NilError(t, err)
+			assert.DeepEqual(t, hosts, []string{r.Address})
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "/price/42", nil)
+			assert.NilError(t, err)
+			resp, err := c.Do("catalog", req)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			assert.Equal(t, classifier.Of(err), classifier.Failed, "%v", err)
+			assert.ErrorContains(t, err, "catalog")
+			assert.Equal(t, r.Requests("/s/"), 1)
+		})
+	}
+}
