Refuse invalid responses of hosts to commands

A command of an operator took a response of a host for its answer although the name of a field in its head or trailer held a space.

Cause: the client of the hosts' API reads with net/http.

Changed: it uses validator.Transport. The command fails as for a host that doesn't respond.

Evidence, on the commit before: TestInvalidResponseOfHostIsRefused fails for a space in a name (of a field or the length, in an interim head or a trailer) and before a colon. It passed for 000, 099, 600 and a control byte, and stays.

--- a/cmd/dandeliontrack/operate.go
+++ b/cmd/dandeliontrack/operate.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/term"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/internal/process/detector"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
 	"dandeliontrack.example/dandeliontrack/pkg/api"
@@ -49,7 +50,7 @@
 // the file of the authority is unusable, and BadRequest if the address is.
 func (s tlsOptions) newClient(address string) (*api.Client, error) {
 	if s.Authority == "" {
-		client, err := api.NewClient("http://" + address)
+		client, err := api.NewClient("http://"+address, withTransport(http.DefaultTransport))
 		return client, classifier.BadRequest.Wrap(err, address)
 	}
 	raw, err := os.ReadFile(s.Authority)
@@ -61,10 +62,16 @@
 		return nil, classifier.Invalid.New("%s: no PEM certificate found: use the file of the authority that signed the listener's certificate", s.Authority)
 	}
 	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
-	client, err := api.NewClient("https://"+address, api.WithClient(&http.Client{Transport: transport}))
+	client, err := api.NewClient("https://"+address, withTransport(transport))
 	return client, classifier.BadRequest.Wrap(err, address)
 }
 
+// withTransport returns an option to send calls with the transport and to refuse invalid
+// responses.
+func withTransport(transport http.RoundTripper) api.ClientOption {
+	return api.WithClient(&http.Client{Transport: validator.New(transport)})
+}
+
 // toClassifiedError returns the error of an API call with the kind that the host's
 // response names, or with kind Unreachable if there was no such response.
 func toClassifiedError(err error) error {
--- a/cmd/dandeliontrack/operate_test.go
+++ b/cmd/dandeliontrack/operate_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/standin/responder"
+	"dandeliontrack.example/dandeliontrack/pkg/api"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
 
@@ -63,3 +65,16 @@
 yvNUQUQ0D/CYAiEA/PgKg/TlYQHuvfB+t+sNWWGKdpQMAteHuwP3VF2QA+8=
 -----END CERTIFICATE-----
 `
+
+// Guards against a command that takes an invalid response of a host for its answer.
+func TestInvalidResponseOfHostIsRefused(t *testing.T) {
+	for name, response := range responder.Invalid("Content-Type: application/json\r\n", `{"service":"s","lifetime":1,"version":1,"hosts":[]}`) {
+		t.Run(name, func(t *testing.T) {
+			client, err := tlsOptions{}.newClient(responder.New(t, response).Address)
+			assert.NilError(t, err)
+			_, err = client.Lookup(t.Context(), api.LookupParams{Service: "s"})
+			assert.Assert(t, err != nil)
+			assert.Equal(t, classifier.Of(toClassifiedError(err)), classifier.Unreachable, "%v", err)
+		})
+	}
+}
