validator: less work for a valid line

A profile showed bytes.CutSuffix as a third of Scan.

Package acceptor is unchanged; it has no benchmark.

--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -37,7 +37,10 @@
 			return next, false, nil
 		}
 		line := b[next : next+n]
-		line, hasCR := bytes.CutSuffix(line, []byte{'\r'})
+		hasCR := n > 0 && line[n-1] == '\r'
+		if hasCR {
+			line = line[:n-1]
+		}
 		var err error
 		switch {
 		case next == 0:
@@ -50,7 +53,9 @@
 		case line[0] == ' ' || line[0] == '\t':
 			err = checkContinuation(line, isFirstField(b, next))
 		default:
-			err = checkFieldLine(line)
+			if name := tokenLen(line); name == 0 || name == len(line) || line[name] != ':' {
+				err = invalidLine(line)
+			}
 		}
 		if err != nil {
 			return next, false, err
@@ -95,16 +100,13 @@
 	return nil
 }
 
-// checkFieldLine checks the name of a field (RFC 9112, section 5).
-func checkFieldLine(line []byte) error {
-	n := tokenLen(line)
-	switch {
-	case 0 < n && n < len(line) && line[n] == ':':
-		return nil
-	case bytes.IndexByte(line, ':') < 0:
+// invalidLine returns the error of a field line that doesn't begin with a token and a colon
+// (RFC 9112, section 5).
+func invalidLine(line []byte) error {
+	name, _, hasColon := bytes.Cut(line, []byte{':'})
+	if !hasColon {
 		return fmt.Errorf("%w: %.64q", errNoColon, line)
 	}
-	name, _, _ := bytes.Cut(line, []byte{':'})
 	return invalidName(string(name))
 }
 
