--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -29,7 +29,7 @@
 // Scan checks the lines of a response head in b, of which those before offset next have been
 // checked. It stops at a line that isn't complete. It returns the offset of the first line
 // that was not checked, and whether that follows the empty line at the end of the head. The
-// values of fields are not checked.
+// error says which line is invalid and why. The values of fields are not checked.
 func Scan(b []byte, next int) (int, bool, error) {
 	for {
 		n := bytes.IndexByte(b[next:], '\n')
--- a/internal/connection/validator/validator_test.go
+++ b/internal/connection/validator/validator_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -17,6 +18,13 @@
 
 const okLine = "HTTP/1.1 200 OK\r\n"
 
+func ExampleScan() {
+	head := []byte("HTTP/1.1 200 OK\r\nContent Length: 4\r\n\r\n")
+	_, _, err := validator.Scan(head, 0)
+	fmt.Println(err)
+	// Output: field name "Content Length" is not a token
+}
+
 // Guards against an invalid head that is accepted, a valid one that is refused, and an error
 // that doesn't name the reason.
 func TestScan(t *testing.T) {
