--- a/review/_standin-3/trial/main.go
+++ b/review/_standin-3/trial/main.go
@@ -37,6 +37,7 @@
 	"silent": {prepareSilent, runSilent},
 	"behind": {prepareBehind, runBehind},
 	"held":   {prepareHeld, runHeld},
+	"late":   {prepareLate, runLate},
 }
 
 func main() {
--- a/review/_standin-3/trial/worker.go
+++ b/review/_standin-3/trial/worker.go
@@ -50,18 +50,37 @@
 	return w, nil
 }
 
+// listenOnly serves a worker that the case itself registers.
+func listenOnly(rec *record, number int, service, zone string, j job) (*worker, net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	w := &worker{
+		number: number, id: fmt.Sprintf("i-%08x", 0x3a91c200+number), service: service, zone: zone, address: l.Addr().String(),
+		job: j, record: rec, born: time.Now().UnixMilli(),
+	}
+	go w.serve(l)
+	return w, l, nil
+}
+
 // register writes the registration of the worker every heartbeat.
 func (w *worker) register(s *store) {
 	for seq := 1; ; seq++ {
-		s.putJSON("servers", w.id, map[string]any{
-			"Address": w.address, "born": w.born,
-			"Info":   map[string]any{"Service": w.service, "Version": "v1", "Zone": w.zone, "Slots": workerSlots},
-			"Status": map[string]any{"State": "ready", "Seq": seq, "ColdLeft": "0ms"},
-		})
+		s.putJSON("servers", w.id, w.registration("ready", seq))
 		time.Sleep(heartbeat)
 	}
 }
 
+// registration returns the entry of the worker.
+func (w *worker) registration(state string, seq int) map[string]any {
+	return map[string]any{
+		"Address": w.address, "born": w.born,
+		"Info":   map[string]any{"Service": w.service, "Version": "v1", "Zone": w.zone, "Slots": workerSlots},
+		"Status": map[string]any{"State": state, "Seq": seq, "ColdLeft": "0ms"},
+	}
+}
+
 func (w *worker) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
