Refuse a response without a length whose request could not be written

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection. The caller got the part as a complete response.

Cause: the kernel reports the failure of a connection once. While a long body is written, two goroutines use the connection. If the write gets ECONNRESET (or ETIMEDOUT after TCP_USER_TIMEOUT), the read returns EOF, as after a FIN, and EOF ends a body without a length. The error of the write was looked at once, when the header had arrived, and not at the end of the body.

Change: at the end of a body without a length, sender waits until the upstream has received the request. The body is incomplete if the write failed, or if the connection fails, is interrupted or the deadline passes before all is acknowledged. The kernel can still return the error to either side: one of the two makes reading the body fail. A response that ends with a FIN while its upstream goes on reading is complete, and its request is no longer cut off there. One whose upstream neither reads on nor resets is incomplete at the deadline, or when TCP_USER_TIMEOUT ends the connection: nothing shows whether the upstream has ended its response or is gone. A refusal before the end of the request needs no body and is not held up.

--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -45,6 +45,14 @@
 	return examine(c, func(fd int) bool { return poll(fd, unix.POLLRDHUP) })
 }
 
+// Failed reports whether the connection was reset or timed out, also if the error was returned to
+// a write. It returns false for a connection that the peer has closed in its sending direction
+// only, for one without a file descriptor, and on any error.
+func Failed(c net.Conn) bool {
+	// Poll reports a hangup and an error without being asked for them.
+	return examine(c, func(fd int) bool { return poll(fd, 0) })
+}
+
 func poll(fd int, events int16) bool {
 	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: events}}, 0)
 	return err == nil && n > 0
--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
@@ -60,6 +61,8 @@
 	dialTime    time.Duration // time to open the connection, an estimate of the round-trip time
 	idleTime    time.Duration // time in the pool before this request, 0 if new
 	used        bool
+	deadline    time.Time    // of the request
+	interrupted atomic.Bool  // Interrupt was called
 	inFlight    bool         // a request was sent and its response is not complete
 	write       *write       // of a long body, nil for none
 	request     http.Request // tells http.ReadResponse the method
@@ -87,9 +90,15 @@
 // or the deadline passes. On an error the connection is closed. The error is of kind
 // Unreachable if no byte was sent, TimedOut after the deadline, ResponseMismatch if the
 // upstream sent the response to another request, and Failed otherwise.
+//
+// A body without a length ends where the upstream closes its side of the connection. Reading it
+// waits there until the upstream has received the request, and fails if the connection fails or
+// the deadline passes before. The error says which.
 func (c *Conn) Do(ctx context.Context, r *Request, deadline time.Time) (*http.Response, error) {
+	c.deadline = deadline
+	c.interrupted.Store(false)
 	_ = c.conn.SetDeadline(deadline)
-	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.Interrupt)
 	response, err := c.roundTrip(r)
 	if !stop() && err == nil {
 		err = classifier.Failed.Wrap(context.Cause(ctx), "upstream "+c.address())
@@ -246,6 +255,9 @@
 		return nil, err
 	}
 	validator.CheckTrailer(response)
+	if closeDelimited(response) && response.Body != http.NoBody {
+		response.Body = &closeDelimitedBody{response.Body, c}
+	}
 	response.Close = response.Close || isHTTP10
 	return response, nil
 }
@@ -283,7 +295,7 @@
 // bytes after the response, if the response began before the whole body was sent, or if the
 // pool is full.
 func (c *Conn) Release() {
-	if c.write != nil && c.write.early {
+	if c.Early() {
 		c.Close()
 		return
 	}
@@ -333,4 +345,7 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) { _ = c.conn.SetReadDeadline(deadline) }
 
 // Interrupt makes pending reads and writes fail. It may be called from any goroutine.
-func (c *Conn) Interrupt() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }
+func (c *Conn) Interrupt() {
+	c.interrupted.Store(true)
+	_ = c.conn.SetDeadline(time.Unix(1, 0))
+}
--- a/internal/connection/sender/write.go
+++ b/internal/connection/sender/write.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -60,6 +63,59 @@
 	return true
 }
 
+// Early reports whether the response began before the upstream had received the whole request.
+// Such a connection is not reused.
+func (c *Conn) Early() bool { return c.write != nil && c.write.early }
+
+var (
+	errConnectionFailed = errors.New("connection failed before the upstream had received the request")
+	errNotReceived      = errors.New("upstream had not received the request before the deadline")
+)
+
+// awaitReceipt waits until the upstream has received the whole request. It returns an error if
+// the connection fails, is interrupted, or the deadline of the request passes before.
+func (c *Conn) awaitReceipt() error {
+	if c.write != nil {
+		<-c.write.done // the deadline applies to the write, too
+		if c.write.err != nil {
+			return c.write.err
+		}
+	}
+	for ; peeker.HasUnacknowledged(c.conn); time.Sleep(writePollPeriod) {
+		switch {
+		case peeker.Failed(c.conn):
+			return errConnectionFailed
+		case c.interrupted.Load() || !time.Now().Before(c.deadline):
+			return errNotReceived
+		}
+	}
+	if c.write != nil {
+		c.write.early = false
+	}
+	return nil
+}
+
+// closeDelimitedBody is the body of a response that ends where its connection is closed. The
+// kernel reports the failure of a connection once. If a write of the request gets that error,
+// reads return the same as after a regular close. So the body is complete only if the upstream
+// has received the request.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if failure := b.conn.awaitReceipt(); failure != nil {
+		err = fmt.Errorf("response without a length may be incomplete: %w", failure)
+	}
+	return n, err
+}
+
 // roundTripLong sends a request with a long body and reads the header of its response. An
 // upstream may respond before it has read the body, and not read the rest.
 func (c *Conn) roundTripLong(r *Request, reused bool) (*http.Response, error) {
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -263,6 +263,10 @@
 
 // discardBody reads a short body to its end to reuse the connection, or closes it.
 func (a *attempt) discardBody() {
+	if a.conn.Early() {
+		a.conn.Close()
+		return
+	}
 	if _, err := io.CopyN(io.Discard, a.response.Body, maxDiscardBytes); err != io.EOF {
 		a.conn.Close()
 		return
--- a/internal/request/steerer/steerer_test.go
+++ b/internal/request/steerer/steerer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -256,7 +257,7 @@
 
 // serve makes the host serve callers with the options and a new sender.
 func (g *testHost) serve(o steerer.Options) {
-	o.Sender = sender.New(sender.Options{Match: matchID})
+	o.Sender = sender.New(sender.Options{Match: matchID, Dial: dialUnbuffered})
 	g.t.Cleanup(o.Sender.Close)
 	g.steer = steerer.New(o)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -272,6 +273,16 @@
 	}
 }
 
+// dialUnbuffered opens a connection that takes much less than uploadBytes while the peer does not
+// read.
+func dialUnbuffered(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.(*net.TCPConn).SetWriteBuffer(uploadBytes / 32)
+}
+
 // removeFirst deregisters the upstream that the object goes to.
 func (g *testHost) removeFirst() { g.remove(g.first.id) }
 
