Refuse responses to net/http clients whose connection failed in the request

What callers saw: a store, a host or another server answered a long request early with a 200 without a length, and reset or closed the connection before it had read the request. A part of a body counted as the whole to pkg/caller, and a write to the store or a publication that nobody had read counted as done.

Nor does a FIN with a reset behind it fail: net/http closes the connection at the end of the body and never learns of the reset. TLS doesn't help, since package tls takes the end of the connection for that of its stream at the end of a record.

Change: package reporter wraps the connections of an http.Transport. Where the peer ends its stream, a read returns io.EOF only once the request is written and acknowledged, and otherwise the error that a write got. The store of entry and of serve, the prober, pkg/caller and the commands use it. Responses that end while their server goes on reading still count, and net/http no longer cuts off the request there. A server that neither reads on nor resets holds the reader until the context of the request ends, which all of ours have except those that users of pkg/caller make without a deadline.

Not covered: a transport with Dial or DialTLSContext, or another http.RoundTripper, that a user gives to pkg/caller. With TLS, close_notify counts as the end that the server announced.

--- a/cmd/dandeliontrack/operate.go
+++ b/cmd/dandeliontrack/operate.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/term"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/reporter"
 	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/internal/process/detector"
 	"dandeliontrack.example/dandeliontrack/internal/version/noter"
@@ -50,7 +51,7 @@
 // the file of the authority is unusable, and BadRequest if the address is.
 func (s tlsOptions) newClient(address string) (*api.Client, error) {
 	if s.Authority == "" {
-		client, err := api.NewClient("http://"+address, withTransport(http.DefaultTransport))
+		client, err := api.NewClient("http://"+address, withTransport(http.DefaultTransport.(*http.Transport)))
 		return client, classifier.BadRequest.Wrap(err, address)
 	}
 	raw, err := os.ReadFile(s.Authority)
@@ -66,10 +67,10 @@
 	return client, classifier.BadRequest.Wrap(err, address)
 }
 
-// withTransport returns an option to send calls with the transport and to refuse invalid
-// responses.
-func withTransport(transport http.RoundTripper) api.ClientOption {
-	return api.WithClient(&http.Client{Transport: validator.New(transport)})
+// withTransport returns an option to send calls with a copy of the transport and to refuse
+// invalid or incomplete responses.
+func withTransport(transport *http.Transport) api.ClientOption {
+	return api.WithClient(&http.Client{Transport: validator.New(reporter.New(transport))})
 }
 
 // toClassifiedError returns the error of an API call with the kind that the host's
--- a/cmd/dandeliontrack/operate_test.go
+++ b/cmd/dandeliontrack/operate_test.go
@@ -7,8 +7,10 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
+	"github.com/go-faster/jx"
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/standin/responder"
@@ -78,3 +80,29 @@
 		})
 	}
 }
+
+// Guards against a publication that succeeds although the host broke off the connection before it
+// had read the note, if the response has no length.
+func TestPublicationOnFailedConnectionIsRefused(t *testing.T) {
+	const tries = 20 // the kernel reports a reset either to the writer or to the reader
+	const response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + `{"id":"a","version":1,"chain":"c","repeated":false}`
+	plain := responder.NewEarly(t, response, responder.Reset)
+	encrypted, certificate := responder.NewEarlyTLS(t, response, responder.Reset)
+	authority := filepath.Join(t.TempDir(), "authority.pem")
+	assert.NilError(t, os.WriteFile(authority, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate.Raw}), 0o600))
+	for name, c := range map[string]struct {
+		host *responder.Responder
+		tls  tlsOptions
+	}{"without TLS": {plain, tlsOptions{}}, "with TLS": {encrypted, tlsOptions{Authority: authority}}} {
+		t.Run(name, func(t *testing.T) {
+			client, err := c.tls.newClient(c.host.Address)
+			assert.NilError(t, err)
+			note := api.Note{"routes": jx.Raw(`"` + strings.Repeat("x", 16<<20) + `"`)}
+			for range tries {
+				_, err = client.Publish(t.Context(), note)
+				assert.Equal(t, classifier.Of(toClassifiedError(err)), classifier.Unreachable, "%v", err)
+			}
+			assert.Equal(t, c.host.Requests("/"), tries)
+		})
+	}
+}
--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -2,8 +2,10 @@
 package peeker
 
 import (
+	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -45,11 +47,31 @@
 	return examine(c, func(fd int) bool { return poll(fd, unix.POLLRDHUP) })
 }
 
-// Failed reports whether the connection was reset or timed out, also if the error was returned to
-// a write. It returns false for a connection that the peer has closed in its sending direction
-// only, for one without a file descriptor, and on any error.
-func Failed(c net.Conn) bool {
-	// Poll reports a hangup and an error without being asked for them.
+// errFailed is the error of a connection whose own error may have been returned already.
+var errFailed = errors.New("connection failed before the peer had acknowledged what was sent")
+
+// acknowledgementPollPeriod is how often AwaitAcknowledged examines a connection.
+const acknowledgementPollPeriod = time.Millisecond
+
+// AwaitAcknowledged waits until the peer has acknowledged all that was written to the connection.
+// It returns an error if the connection fails before, and that of stop once stop returns one. It
+// returns nil at once for a connection without a file descriptor and on any other error.
+func AwaitAcknowledged(c net.Conn, stop func() error) error {
+	for ; HasUnacknowledged(c); time.Sleep(acknowledgementPollPeriod) {
+		if failed(c) {
+			return errFailed
+		}
+		if err := stop(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// failed reports whether the connection was reset or timed out, also if a write or a read has
+// returned that error. A connection that only the peer has closed has not failed.
+func failed(c net.Conn) bool {
+	// Poll reports an error and a hangup in both directions without being asked for them.
 	return examine(c, func(fd int) bool { return poll(fd, 0) })
 }
 
--- a/internal/connection/sender/write.go
+++ b/internal/connection/sender/write.go
@@ -67,10 +67,7 @@
 // Such a connection is not reused.
 func (c *Conn) Early() bool { return c.write != nil && c.write.early }
 
-var (
-	errConnectionFailed = errors.New("connection failed before the upstream had received the request")
-	errNotReceived      = errors.New("upstream had not received the request before the deadline")
-)
+var errNotReceived = errors.New("upstream had not received the request before the deadline")
 
 // awaitReceipt waits until the upstream has received the whole request. It returns an error if
 // the connection fails, is interrupted, or the deadline of the request passes before.
@@ -81,18 +78,16 @@
 			return c.write.err
 		}
 	}
-	for ; peeker.HasUnacknowledged(c.conn); time.Sleep(writePollPeriod) {
-		switch {
-		case peeker.Failed(c.conn):
-			return errConnectionFailed
-		case c.interrupted.Load() || !time.Now().Before(c.deadline):
+	err := peeker.AwaitAcknowledged(c.conn, func() error {
+		if c.interrupted.Load() || !time.Now().Before(c.deadline) {
 			return errNotReceived
 		}
-	}
-	if c.write != nil {
+		return nil
+	})
+	if err == nil && c.write != nil {
 		c.write.early = false
 	}
-	return nil
+	return err
 }
 
 // closeDelimitedBody is the body of a response that ends where its connection is closed. The
--- a/internal/process/adapter/adapter.go
+++ b/internal/process/adapter/adapter.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/reporter"
 	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -52,7 +53,7 @@
 // new one.
 func New(table, objects, hosts string, timeout time.Duration, transport http.RoundTripper) *Adapter {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+		transport = reporter.New(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})
 	}
 	trim := func(s string) string { return strings.TrimSuffix(s, "/") }
 	return &Adapter{
--- a/internal/process/adapter/adapter_test.go
+++ b/internal/process/adapter/adapter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -84,3 +85,23 @@
 		})
 	}
 }
+
+// Guards against a write that succeeds although the platform broke off the connection before it
+// had read the value, if the response has no length.
+func TestWriteOnFailedConnectionIsRefused(t *testing.T) {
+	const tries = 20 // the kernel reports a reset either to the writer or to the reader
+	value := make([]byte, 32<<20)
+	for name, end := range map[string]func(*net.TCPConn){"reset": responder.Reset, "closed, value unread": func(*net.TCPConn) {}} {
+		t.Run(name, func(t *testing.T) {
+			r := responder.NewEarly(t, "HTTP/1.1 200 OK\r\nETag: 7\r\n\r\npart", end)
+			base := "http://" + r.Address
+			a := adapter.New(base, base, base, time.Minute, nil)
+			for range tries {
+				assert.Equal(t, classifier.Of(a.Save(t.Context(), "k", value)), classifier.StoreDown)
+				_, err := a.Put(t.Context(), "k", "7", value)
+				assert.Equal(t, classifier.Of(err), classifier.StoreDown)
+			}
+			assert.Equal(t, r.Requests("/"), 2*tries)
+		})
+	}
+}
--- a/internal/process/runner/bridge.go
+++ b/internal/process/runner/bridge.go
@@ -10,6 +10,7 @@
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/pacer"
 	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
+	"dandeliontrack.example/dandeliontrack/internal/connection/reporter"
 	"dandeliontrack.example/dandeliontrack/internal/process/allotter"
 	"dandeliontrack.example/dandeliontrack/internal/process/claimer"
 	"dandeliontrack.example/dandeliontrack/internal/process/gauger"
@@ -266,7 +267,7 @@
 
 // storeCounter counts the operations of the platform's store.
 type storeCounter struct {
-	transport *http.Transport
+	transport *reporter.Transport
 	meter     *meter.Meter
 }
 
--- a/internal/process/runner/parts.go
+++ b/internal/process/runner/parts.go
@@ -15,6 +15,7 @@
 	"dandeliontrack.example/dandeliontrack/internal/connection/linker"
 	"dandeliontrack.example/dandeliontrack/internal/connection/pacer"
 	"dandeliontrack.example/dandeliontrack/internal/connection/pool"
+	"dandeliontrack.example/dandeliontrack/internal/connection/reporter"
 	"dandeliontrack.example/dandeliontrack/internal/process/adapter"
 	"dandeliontrack.example/dandeliontrack/internal/process/allotter"
 	"dandeliontrack.example/dandeliontrack/internal/process/claimer"
@@ -86,8 +87,8 @@
 
 func newParts(s *loader.Settings, log logger.Logger, n network) (*parts, error) {
 	now := time.Now()
-	transport := func() *http.Transport {
-		return &http.Transport{DialContext: n.dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	transport := func() *reporter.Transport {
+		return reporter.New(&http.Transport{DialContext: n.dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})
 	}
 	count := meter.New()
 	store := adapter.New(s.Platform.Table, s.Platform.Objects, s.Platform.Hosts, time.Duration(s.Platform.Timeout), storeCounter{transport(), count})
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -3,8 +3,11 @@
 package responder
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -22,11 +25,36 @@
 	paths []string // of the requests
 }
 
-// New starts a Responder that ends with the test.
+// New starts a Responder that ends with the test. It doesn't read the bodies of requests.
 func New(t testing.TB, response string) *Responder {
+	t.Helper()
+	return NewEarly(t, response, func(*net.TCPConn) {})
+}
+
+// NewEarly starts a Responder that ends with the test. It responds before it has read the body
+// of a request, and calls end before it closes the connection.
+func NewEarly(t testing.TB, response string, end func(c *net.TCPConn)) *Responder {
+	t.Helper()
+	r, server := newServer(t, response, end)
+	server.Start()
+	r.Address = server.Listener.Addr().String()
+	return r
+}
+
+// NewEarlyTLS does the same as NewEarly with TLS, whose end it doesn't announce. It also returns
+// the certificate of the server.
+func NewEarlyTLS(t testing.TB, response string, end func(c *net.TCPConn)) (*Responder, *x509.Certificate) {
+	t.Helper()
+	r, server := newServer(t, response, end)
+	server.StartTLS()
+	r.Address = server.Listener.Addr().String()
+	return r, server.Certificate()
+}
+
+func newServer(t testing.TB, response string, end func(c *net.TCPConn)) (*Responder, *httptest.Server) {
 	t.Helper()
 	r := new(Responder)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.mu.Lock()
 		r.paths = append(r.paths, req.URL.Path)
 		r.mu.Unlock()
@@ -36,11 +64,23 @@
 			return
 		}
 		_, _ = io.WriteString(conn, response)
+		if encrypted, ok := conn.(*tls.Conn); ok {
+			conn = encrypted.NetConn()
+		}
+		end(conn.(*net.TCPConn))
 		_ = conn.Close()
 	}))
 	t.Cleanup(server.Close)
-	r.Address = server.Listener.Addr().String()
-	return r
+	return r, server
+}
+
+// Reset makes closing the connection reset it.
+func Reset(c *net.TCPConn) { _ = c.SetLinger(0) }
+
+// ReadOn ends the response and reads the rest of the request.
+func ReadOn(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	_, _ = io.Copy(io.Discard, c)
 }
 
 // Requests returns the number of requests so far whose path begins with the prefix.
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"dandeliontrack.example/dandeliontrack/internal/connection/reporter"
 	"dandeliontrack.example/dandeliontrack/internal/connection/validator"
 	"dandeliontrack.example/dandeliontrack/pkg/api"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
@@ -58,11 +59,14 @@
 
 // New returns a Caller that looks up hosts at the seeds, which are the addresses
 // (host:port) of caller listeners of entry hosts. A nil transport means a new
-// http.Transport.
+// http.Transport, and another http.Transport is copied.
 func New(seeds []string, transport http.RoundTripper) *Caller {
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	}
+	if t, ok := transport.(*http.Transport); ok {
+		transport = reporter.New(t)
+	}
 	return &Caller{seeds: seeds, client: &http.Client{Transport: validator.New(transport)}, routes: make(map[string]route)}
 }
 
@@ -140,6 +144,7 @@
 // empty or req.GetBody can provide it again. An error of the last attempt is of kind
 // Failed; an error before the first attempt is that of Hosts. A response that isn't valid in
 // HTTP/1.1 is such an error too, or one of reading its body if the trailer isn't.
+// So is a body without a length whose connection failed.
 //
 // The response may be a refusal. The caller of Do must close its body.
 func (c *Caller) Do(service string, req *http.Request) (*http.Response, error) {
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -1,8 +1,10 @@
 package caller_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -131,3 +133,43 @@
 		})
 	}
 }
+
+// Guards against a part of a response that the caller takes for the whole, and against a request
+// that is sent again after it, if a host resets the connection while it receives the request.
+func TestPartOfResponseIsNotComplete(t *testing.T) {
+	const tries = 20 // the kernel reports a reset either to the writer or to the reader
+	for name, transport := range map[string]http.RoundTripper{"default transport": nil, "transport of the caller": new(http.Transport)} {
+		for how, end := range map[string]func(*net.TCPConn){"reset": responder.Reset, "closed, request unread": func(*net.TCPConn) {}, "ended, request read": responder.ReadOn} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				r := responder.NewEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", end)
+				version := 1
+				c := caller.New([]string{host(t, func() []string { return []string{r.Address} }, &version, http.NotFound)}, transport)
+				for range tries {
+					body, err := upload(t, c)
+					if how == "ended, request read" {
+						assert.NilError(t, err)
+						assert.Equal(t, body, "part")
+					} else {
+						assert.ErrorContains(t, err, "")
+					}
+				}
+				assert.Equal(t, r.Requests("/s/"), tries)
+			})
+		}
+	}
+}
+
+// upload sends a request with a long body. It returns the body of the response and the error of
+// the request or of reading that body.
+func upload(t *testing.T, c *caller.Caller) (string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "/order", bytes.NewReader(make([]byte, 32<<20)))
+	assert.NilError(t, err)
+	resp, err := c.Do("catalog", req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
