Compare the digest of every response without a length on the second path

What callers saw: serve and dev refuse a response that ends with its connection unless it has a Repr-Digest. A part of one with that field reached callers as the whole, with a 200, 201, 404 or another status, and was stored for repeats of its key.

Cause: the presence of the field was enough.

Beside 206 the digest is that of the whole representation, so there the length in Content-Range counts; one that has neither is refused now, also if it is whole. Responses with a length or chunks are treated as before, except that more bytes than the rest of a resumed range are refused. That a digest matches proves the whole body, so the result of the request's write is not asked for.

--- a/internal/request/forwarder/answer.go
+++ b/internal/request/forwarder/answer.go
@@ -27,6 +27,9 @@
 
 var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
 
+// errTooLong means that the upstream sent more than the rest of a range.
+var errTooLong = errors.New("the response is longer than its Content-Range")
+
 // errCallerWrite means that the caller did not receive the response.
 var errCallerWrite = errors.New("the caller does not receive the response")
 
@@ -46,8 +49,9 @@
 func newReader(x *exchange, a *attempt) *responseReader {
 	resp := a.resp
 	r := &x.reader
-	*r = responseReader{x: x, a: a, remaining: resp.ContentLength, resumer: resumer.New(x.r, resp)}
-	if resp.StatusCode == http.StatusOK && (resp.Header["Repr-Digest"] != nil || resp.Trailer != nil) {
+	*r = responseReader{x: x, a: a, remaining: bodyLength(resp), resumer: resumer.New(x.r, resp)}
+	hasDigest := resp.Header["Repr-Digest"] != nil || resp.Trailer != nil
+	if resp.StatusCode == http.StatusOK && hasDigest || resp.StatusCode != http.StatusPartialContent && endsAtClose(resp) {
 		r.hash = sha256.New()
 	}
 	r.open()
@@ -97,7 +101,9 @@
 		r.hash.Write(p[:n])
 	}
 	if r.remaining >= 0 {
-		r.remaining -= int64(n)
+		if r.remaining -= int64(n); r.remaining < 0 {
+			return 0, errTooLong
+		}
 	}
 	if r.remaining == 0 && err == nil {
 		err = r.readEnd()
@@ -188,6 +194,33 @@
 	return resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked")
 }
 
+// bodyLength returns the length of the body, or -1 if it is not known.
+func bodyLength(resp *http.Response) int64 {
+	if resp.StatusCode == http.StatusPartialContent && endsAtClose(resp) {
+		if first, last, _, ok := resumer.ParseContentRange(resp.Header); ok {
+			return last - first + 1
+		}
+	}
+	return resp.ContentLength
+}
+
+// checkEnd returns an error if a part of the body could not be told from the whole: the body ends
+// with its connection, and has no digest that can be compared. Beside status 206 the digest is
+// that of the whole representation (RFC 9530, section 3.1), and the length of the range counts.
+func (a *attempt) checkEnd() error {
+	if !endsAtClose(a.resp) {
+		return nil
+	}
+	_, hasEnd := digest(a.resp.Header)
+	if a.resp.StatusCode == http.StatusPartialContent {
+		hasEnd = a.resp.Header["Repr-Digest"] != nil && bodyLength(a.resp) >= 0
+	}
+	if hasEnd {
+		return nil
+	}
+	return classifier.Truncated.New("the response of upstream %s has no length, so its end cannot be checked", a.up.Name())
+}
+
 func (x *exchange) hasBody(resp *http.Response) bool {
 	return x.r.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent &&
 		resp.StatusCode != http.StatusNotModified && resp.ContentLength != 0
@@ -201,8 +234,8 @@
 		x.writeResponse(a.resp, nil)
 		return nil
 	}
-	if endsAtClose(a.resp) && a.resp.Header["Repr-Digest"] == nil {
-		return classifier.Truncated.New("the response of upstream %s has no length, so its end cannot be checked", a.up.Name())
+	if err := a.checkEnd(); err != nil {
+		return err
 	}
 	buf := buffers.Get().(*[bufferBytes]byte)
 	defer buffers.Put(buf)
--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -10,12 +10,14 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"dandeliontrack.example/dandeliontrack/internal/standin/responder"
 	"dandeliontrack.example/dandeliontrack/internal/version/planner"
 	"dandeliontrack.example/dandeliontrack/pkg/classifier"
 )
@@ -167,6 +169,71 @@
 	g.assertError(t, g.request(t, http.MethodGet, "/s/docs/f", "", "Request-Id", "r1"), classifier.Truncated)
 }
 
+// Guards against a part of an early response that reaches the caller as the whole, and against a
+// request that is sent again after it, if the upstream resets the connection in the request.
+func TestEarlyResponseWithoutLengthIsRejected(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn){"reset": responder.Reset, "closed, request unread": func(*net.TCPConn) {}} {
+		t.Run(name, func(t *testing.T) {
+			up := responder.NewEarly(t, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\npart", end)
+			g := &testHost{network: network{loopback: true}}
+			startHost(t, g, up.Address, "127.0.0.1:1")
+			const tries = 10
+			for range tries {
+				resp, body, err := g.receive(g.request(t, http.MethodPost, "/s/docs/f", strings.Repeat("x", maxBodyBytes), "Request-Id", "r1"))
+				assert.Assert(t, err != nil || resp.StatusCode == http.StatusBadGateway, "%q", body)
+			}
+			assert.Equal(t, up.Requests("/"), tries)
+		})
+	}
+}
+
+// Guards against a part of a response without a length that reaches the caller as the whole
+// because it has a digest that isn't compared: one of another representation, in another form, or
+// beside a status other than 200.
+func TestDigestOfResponseWithoutLengthIsCompared(t *testing.T) {
+	const body = "the whole body"
+	sum := sha256.Sum256([]byte(body))
+	digest := "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
+	const ranged = "206 Partial Content\r\nContent-Range: bytes 0-13/100"
+	for name, c := range map[string]struct {
+		status, digest, sent string
+		whole                bool
+	}{
+		"206, whole range":     {ranged, digest, body, true},
+		"206, part of a range": {ranged, digest, body[:5], false},
+		"206, more":            {ranged, digest, body + body, false},
+		"200, whole":           {"200 OK", digest, body, true},
+		"201, whole":           {"201 Created", digest, body, true},
+		"404, whole":           {"404 Not Found", digest, body, true},
+		"200, part":            {"200 OK", digest, body[:5], false},
+		"201, part":            {"201 Created", digest, body[:5], false},
+		"404, part":            {"404 Not Found", digest, body[:5], false},
+		"206, part":            {"206 Partial Content", digest, body[:5], false},
+		"unknown digest, part": {"200 OK", "sha-512=:AAAA:", body[:5], false},
+		"invalid digest, part": {"200 OK", "sha-256=:AAAA:", body[:5], false},
+		"empty digest, part":   {"200 OK", "", body[:5], false},
+	} {
+		for how, end := range map[string]func(*net.TCPConn){"ended": responder.ReadOn, "reset": responder.Reset} {
+			for _, key := range []string{"", "k"} {
+				t.Run(name+", "+how+" "+key, func(t *testing.T) {
+					up := responder.NewEarly(t, "HTTP/1.1 "+c.status+"\r\nRequest-Id: r1\r\nRepr-Digest: "+c.digest+"\r\n\r\n"+c.sent, end)
+					g := &testHost{network: network{loopback: true}}
+					startHost(t, g, up.Address, "127.0.0.1:1")
+					r := g.request(t, http.MethodPost, "/s/docs/f", "x", "Request-Id", "r1")
+					if key != "" {
+						r.Header.Set("Idempotency-Key", key)
+					}
+					resp, got, err := g.receive(r)
+					complete := err == nil && resp.StatusCode != http.StatusBadGateway
+					assert.Equal(t, complete, c.whole && how == "ended", "%+v, body %q, %v", resp, got, err)
+					assert.Assert(t, !complete || got == body, "%q", got)
+					assert.Equal(t, up.Requests("/"), 1)
+				})
+			}
+		}
+	}
+}
+
 // Guards against a download that hangs for good at an upstream, and against one
 // that is cut off only because it takes longer than the progress timeout.
 func TestStalledDownload(t *testing.T) {
--- a/internal/request/forwarder/head_test.go
+++ b/internal/request/forwarder/head_test.go
@@ -156,7 +156,11 @@
 // sendCut sends a request and reads its response.
 func (g *testHost) sendCut(t *testing.T, method, path string) (*http.Response, string, error) {
 	t.Helper()
-	r := g.request(t, method, path, strings.Repeat("x", len(method)-len(http.MethodGet)), "Request-Id", "1")
+	return g.receive(g.request(t, method, path, strings.Repeat("x", len(method)-len(http.MethodGet)), "Request-Id", "1"))
+}
+
+// receive returns the response to a request, its body, and the error of receiving either.
+func (g *testHost) receive(r *http.Request) (*http.Response, string, error) {
 	resp, err := g.client.Do(r)
 	<-g.traces
 	if err != nil {
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -90,8 +90,8 @@
 	s := &StoredResponse{Status: a.resp.StatusCode, Header: make(http.Header)}
 	stripper.CopyEndToEnd(s.Header, a.resp.Header, hostHeaders)
 	if x.hasBody(a.resp) {
-		if endsAtClose(a.resp) && a.resp.Header["Repr-Digest"] == nil {
-			return classifier.Truncated.New("the response of upstream %s has no length, so its end cannot be checked", a.up.Name())
+		if err := a.checkEnd(); err != nil {
+			return err
 		}
 		var b bytes.Buffer
 		if _, err := io.Copy(&b, io.LimitReader(r, x.f.options.MaxBodyBytes+1)); err != nil {
