--- a/internal/connection/reporter/reporter_test.go
+++ b/internal/connection/reporter/reporter_test.go
@@ -40,6 +40,7 @@
 		"ended, then closed":           {longBytes, toEOF, func(c *net.TCPConn) { _ = c.CloseWrite(); pause() }, ""},
 		"ended, then closed, buffered": {bufferedBytes, toEOF, func(c *net.TCPConn) { _ = c.CloseWrite(); pause() }, ""},
 		"reset, short request":         {1 << 10, toEOF, responder.Reset, "reset by peer"},
+		"reset, no request body":       {0, toEOF, responder.Reset, "reset by peer"},
 		"ended, request read":          {longBytes, toEOF, responder.ReadOn, whole},
 		"ended, request read later":    {longBytes, toEOF, func(c *net.TCPConn) { _ = c.CloseWrite(); pause(); responder.ReadOn(c) }, whole},
 		"ended, short request":         {1 << 10, toEOF, responder.ReadOn, whole},
--- a/internal/request/steerer/upload_test.go
+++ b/internal/request/steerer/upload_test.go
@@ -88,13 +88,41 @@
 	}
 }
 
+// Guards against a caller who waits beyond its deadline, or gets a part as the whole, if an
+// upstream ends its response and neither reads the request nor resets the connection. Nothing
+// shows then whether the upstream has sent all.
+func TestUnreadRequestEndsAtDeadline(t *testing.T) {
+	end := make(chan struct{})
+	defer close(end)
+	endOnly := func(c *net.TCPConn) { _ = c.CloseWrite(); <-end }
+	for name, part := range map[string]string{"short": "part", "passed on as it arrives": strings.Repeat("x", 3<<19)} {
+		for _, path := range []string{"/look/1", "/pay/1"} {
+			t.Run(name+", "+path[1:4], func(t *testing.T) {
+				g := newTestHost(t, func(first, _ *upstream) {
+					first.handle = respondEarly(first, "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\n\r\n"+part, endOnly)
+				})
+				status, _, err := g.uploadTo(path, "Patience: 400ms\r\n")
+				if name == "short" {
+					assert.NilError(t, err)
+					assert.Equal(t, status, http.StatusGatewayTimeout)
+				} else {
+					assert.ErrorContains(t, err, "EOF")
+				}
+				assert.Equal(t, g.first.ran.Load(), int64(1))
+				assert.Equal(t, g.second.received.Load(), int64(0))
+				g.awaitMemory(0)
+			})
+		}
+	}
+}
+
 // uploadTo sends a request with a long body and reads its response. The error is that of reading
 // the body of the response.
-func (g *testHost) uploadTo(path string) (status int, body string, err error) {
+func (g *testHost) uploadTo(path string, headers ...string) (status int, body string, err error) {
 	g.t.Helper()
 	c := g.dial()
 	defer c.Close()
-	head, upload := longRequest(false)
+	head, upload := longRequest(false, headers...)
 	_, err = io.WriteString(c, strings.Replace(head, "/pay/1", path, 1)+upload)
 	assert.NilError(g.t, err)
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
