Reporter: don't wait for the request where no response has begun

Reading the diff: a server that closes its side without a response and doesn't read the request held the read loop of net/http until the context ended, instead of failing the request at once as before. Only the end of a response that has begun waits now. TestMissingResponseEndsAtOnce failed before, with the deadline of its context after 60 s.

The error of a request that was given up while its upstream had not received it no longer names the deadline, which is only one of the reasons.

--- a/internal/connection/reporter/conn.go
+++ b/internal/connection/reporter/conn.go
@@ -16,9 +16,10 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 
-	mu      sync.Mutex
-	pending chan struct{} // closed once the request is written, nil if there was none
-	err     error         // of a Write
+	mu       sync.Mutex
+	pending  chan struct{} // closed once the request is written, nil if there was none
+	answered bool          // a byte arrived since the request began
+	err      error         // of a Write
 }
 
 func newConn(raw net.Conn) *conn { return &conn{Conn: raw, closed: make(chan struct{})} }
@@ -26,7 +27,7 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending = make(chan struct{})
+	c.pending, c.answered = make(chan struct{}), false
 }
 
 func (c *conn) endRequest() {
@@ -59,6 +60,11 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.answered = true
+		c.mu.Unlock()
+	}
 	var failure error
 	switch {
 	case err == io.EOF:
@@ -72,12 +78,15 @@
 	return n, err
 }
 
-// awaitReceipt waits until the peer has received the request. It returns an error if the
-// connection fails or is closed before.
+// awaitReceipt waits until the peer has received the request, if a response has begun. It returns
+// an error if the connection fails or is closed before.
 func (c *conn) awaitReceipt() error {
 	c.mu.Lock()
-	pending := c.pending
+	pending, answered := c.pending, c.answered
 	c.mu.Unlock()
+	if !answered {
+		return c.writeError()
+	}
 	if pending != nil {
 		select {
 		case <-pending:
--- a/internal/connection/reporter/reporter_test.go
+++ b/internal/connection/reporter/reporter_test.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// Guards against a reader that waits for a server that has closed its side without a response and
+// doesn't read the request.
+func TestMissingResponseEndsAtOnce(t *testing.T) {
+	end := make(chan struct{})
+	r := responder.NewEarly(t, "", func(c *net.TCPConn) { _ = c.CloseWrite(); <-end })
+	defer close(end)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, err := post(ctx, r.Address, bytes.NewReader(make([]byte, longBytes)))
+	assert.ErrorContains(t, err, "")
+	assert.NilError(t, ctx.Err())
+}
+
 // zeros is an endless body.
 type zeros struct{}
 
--- a/internal/connection/sender/write.go
+++ b/internal/connection/sender/write.go
@@ -67,7 +67,7 @@
 // Such a connection is not reused.
 func (c *Conn) Early() bool { return c.write != nil && c.write.early }
 
-var errNotReceived = errors.New("upstream had not received the request before the deadline")
+var errNotReceived = errors.New("request was given up before the upstream had received it")
 
 // awaitReceipt waits until the upstream has received the whole request. It returns an error if
 // the connection fails, is interrupted, or the deadline of the request passes before.
--- a/internal/request/steerer/attempt.go
+++ b/internal/request/steerer/attempt.go
@@ -263,7 +263,7 @@
 
 // discardBody reads a short body to its end to reuse the connection, or closes it.
 func (a *attempt) discardBody() {
-	if a.conn.Early() {
+	if a.conn.Early() { // the end of the body may have to wait for that of the request
 		a.conn.Close()
 		return
 	}
