--- a/internal/connection/reporter/conn.go
+++ b/internal/connection/reporter/conn.go
@@ -19,7 +19,7 @@
 	mu       sync.Mutex
 	pending  chan struct{} // closed once the request is written, nil if there was none
 	answered bool          // a byte arrived since the request began
-	err      error         // of a Write
+	err      error         // of the first Write that failed
 }
 
 func newConn(raw net.Conn) *conn { return &conn{Conn: raw, closed: make(chan struct{})} }
@@ -46,7 +46,9 @@
 	if err != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.err = err
+		if c.err == nil { // a later one is a consequence
+			c.err = err
+		}
 	}
 	return n, err
 }
@@ -116,7 +118,7 @@
 	}
 }
 
-// writeError returns the error of a Write.
+// writeError returns the error of the first Write that failed.
 func (c *conn) writeError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/connection/sender/write.go
+++ b/internal/connection/sender/write.go
@@ -85,7 +85,7 @@
 		return nil
 	})
 	if err == nil && c.write != nil {
-		c.write.early = false
+		c.write.early = false // closing the connection need not reset it
 	}
 	return err
 }
