Set no read deadline after the end of a request body on the second path

What callers saw: a connection to serve hung, instead of being closed, after a response that was broken off while the host still wrote the request.

Cause: net/http reads a body once more after its end, in its own goroutine, perhaps when the handler has returned. upload then set a read deadline and removed it, and with it the one that the server had set to end its own read of the connection.

TestReadAfterEndSetsNoDeadline failed before.

Change: a read after the end returns io.EOF and touches no deadline.

--- a/internal/request/forwarder/body.go
+++ b/internal/request/forwarder/body.go
@@ -45,6 +45,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.readStarted.Store(true)
+	if u.complete.Load() { // the transport may read once more, also after stop
+		return 0, io.EOF
+	}
 	if u.ended.Load() {
 		return 0, errEnded
 	}
--- a/internal/request/forwarder/body_test.go
+++ b/internal/request/forwarder/body_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -43,3 +44,28 @@
 	assert.Assert(t, w.removed.Load())
 	<-done
 }
+
+// countedDeadlines is a response writer that counts how often a read deadline is set.
+type countedDeadlines struct {
+	http.ResponseWriter
+	n int
+}
+
+func (w *countedDeadlines) SetReadDeadline(time.Time) error {
+	w.n++
+	return nil
+}
+
+// Guards against a connection that hangs because the transport reads the body once more after its
+// end, when the handler has returned, and removes the deadline that ends the server's own read.
+func TestReadAfterEndSetsNoDeadline(t *testing.T) {
+	w := &countedDeadlines{ResponseWriter: httptest.NewRecorder()}
+	u := newUpload(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader("")), 1)
+	_, err := u.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	u.stop()
+	before := w.n
+	_, err = u.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, w.n, before)
+}
