--- a/internal/request/steerer/upload_test.go
+++ b/internal/request/steerer/upload_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandeliontrack.example/dandeliontrack/internal/connection/peeker"
+	"dandeliontrack.example/dandeliontrack/internal/standin/responder"
 )
 
 // respondEarly returns a handler that responds before it has read the body of the request, and
@@ -40,9 +41,7 @@
 	const signed = "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\n"
 	body := strings.Repeat("0123456789abcdef", 1<<10)
 	long := strings.Repeat(body, 96) // is passed on as it arrives
-	reset := func(c *net.TCPConn) { _ = c.SetLinger(0) }
 	leaveUnread := func(*net.TCPConn) {}
-	readOn := func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) }
 	for name, c := range map[string]struct {
 		response string
 		end      func(c *net.TCPConn)
@@ -50,17 +49,17 @@
 		body     string
 		reason   string // in the log
 	}{
-		"reset":              {signed + "\r\n" + body, reset, http.StatusBadGateway, "", "reset by peer"},
-		"reset, long part":   {signed + "\r\n" + long, reset, aborted, "", "reset by peer"},
+		"reset":              {signed + "\r\n" + body, responder.Reset, http.StatusBadGateway, "", "reset by peer"},
+		"reset, long part":   {signed + "\r\n" + long, responder.Reset, aborted, "", "reset by peer"},
 		"unread":             {signed + "\r\n" + body, leaveUnread, http.StatusBadGateway, "", "upstream"},
 		"unread, long part":  {signed + "\r\n" + long, leaveUnread, aborted, "", "upstream"},
-		"reset, chunked":     {signed + "Transfer-Encoding: chunked\r\n\r\n4000\r\n" + body, reset, http.StatusBadGateway, "", "upstream"},
-		"reset, with length": {signed + "Content-Length: 20000\r\n\r\n" + body, reset, http.StatusBadGateway, "", "upstream"},
-		"status 000":         {"HTTP/1.1 000 OK\r\nId: 1\r\nSigned: 1\r\n\r\n" + body, readOn, http.StatusBadGateway, "", "status code 000 is not between 100 and 599"},
-		"space in a name":    {signed + "X Y: 1\r\n\r\n" + body, readOn, http.StatusBadGateway, "", `\"X Y\" is not a token`},
-		"control byte":       {signed + "X\x01Y: 1\r\n\r\n" + body, readOn, http.StatusBadGateway, "", `\"X\\x01Y\" is not a token`},
-		"read on":            {signed + "\r\n" + body, readOn, http.StatusOK, body, ""},
-		"read on, long body": {signed + "\r\n" + long, readOn, http.StatusOK, long, ""},
+		"reset, chunked":     {signed + "Transfer-Encoding: chunked\r\n\r\n4000\r\n" + body, responder.Reset, http.StatusBadGateway, "", "upstream"},
+		"reset, with length": {signed + "Content-Length: 20000\r\n\r\n" + body, responder.Reset, http.StatusBadGateway, "", "upstream"},
+		"status 000":         {"HTTP/1.1 000 OK\r\nId: 1\r\nSigned: 1\r\n\r\n" + body, responder.ReadOn, http.StatusBadGateway, "", "status code 000 is not between 100 and 599"},
+		"space in a name":    {signed + "X Y: 1\r\n\r\n" + body, responder.ReadOn, http.StatusBadGateway, "", `\"X Y\" is not a token`},
+		"control byte":       {signed + "X\x01Y: 1\r\n\r\n" + body, responder.ReadOn, http.StatusBadGateway, "", `\"X\\x01Y\" is not a token`},
+		"read on":            {signed + "\r\n" + body, responder.ReadOn, http.StatusOK, body, ""},
+		"read on, long body": {signed + "\r\n" + long, responder.ReadOn, http.StatusOK, long, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
